--- /dev/null
+++ b/crates/rail_codegen/src/main.rs
@@ -0,0 +1,30 @@
+//! Regenerates the operator RPC code from its schema.
+//!
+//! Usage: `rail_codegen SCHEMA OUT_DIR`. CI writes to a scratch folder and
+//! compares it with the committed code.
+
+use std::path::PathBuf;
+
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error("usage: rail_codegen SCHEMA OUT_DIR")]
+    Usage,
+    #[error("schema does not compile: {0}")]
+    Schema(#[from] protox::Error),
+    #[error("cannot write the generated code: {0}")]
+    Write(#[from] std::io::Error),
+}
+
+fn main() -> Result<(), Error> {
+    let args: Vec<PathBuf> = std::env::args_os().skip(1).map(PathBuf::from).collect();
+    let [schema, out_dir] = args.as_slice() else {
+        return Err(Error::Usage);
+    };
+    let include = schema.parent().ok_or(Error::Usage)?;
+    let descriptors = protox::compile([schema], [include])?;
+    std::fs::create_dir_all(out_dir)?;
+    tonic_prost_build::configure()
+        .out_dir(out_dir)
+        .compile_fds(descriptors)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/rail_config/src/lib.rs
@@ -0,0 +1,25 @@
+//! Fleet configuration: base models, adapters, versions and upstreams.
+//!
+//! [`Fleet`] is one immutable generation. Operators submit [`Change`]s;
+//! [`Fleet::apply`] checks them and gives the next generation. [`Head`] and
+//! [`Segment`] are its stored form: segments are write-once, and the
+//! conditional update of the head is the point of acceptance.
+
+pub mod change;
+pub mod fleet;
+pub mod model_name;
+pub mod segment;
+
+/// Commonly used items.
+pub mod prelude {
+    pub use crate::{
+        change::{Change, ChangeError},
+        fleet::{
+            Adapter, Base, Fleet, Generation, ResolveError, StoreBudget, Upstream, UpstreamKind,
+            Urgency,
+        },
+        model_name::{ModelName, ModelNameError},
+        segment::{Head, Segment},
+    };
+}
+pub use prelude::*;
--- /dev/null
+++ b/crates/rail_peer/src/client.rs
@@ -0,0 +1,100 @@
+//! The calling side of peer links.
+
+use crate::{
+    error::{Error, Result},
+    frame::{self, Reader},
+    message::{PeerReply, PeerRequest},
+    server::{ALPN, transport},
+};
+use quinn::{Connection, Endpoint, crypto::rustls::QuicClientConfig};
+use rail_runtime::{Keys, keys::FLEET_SERVER_NAME};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::sync::Mutex;
+
+/// Time in which a link must be open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Opens calls to peers; clones share their links.
+#[derive(Debug, Clone)]
+pub struct PeerClient {
+    endpoint: Endpoint,
+    links: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
+}
+
+/// Replies of one call; dropping it tells the peer that nobody waits.
+#[derive(Debug)]
+pub struct ReplyStream {
+    reader: Reader,
+}
+
+impl ReplyStream {
+    /// Waits for the next reply; none when the peer has finished.
+    ///
+    /// # Errors
+    /// [`Error::Lost`] when the link broke.
+    pub async fn next(&mut self) -> Result<Option<PeerReply>> {
+        frame::read(&mut self.reader).await
+    }
+}
+
+impl PeerClient {
+    /// Opens an endpoint that dials from this address.
+    ///
+    /// # Errors
+    /// Fails when the keys are refused or the address can't be bound.
+    pub fn open(ip: IpAddr, keys: &Keys) -> Result<Self> {
+        let tls = QuicClientConfig::try_from(keys.client_config(ALPN)?)
+            .map_err(|_error| Error::Cipher)?;
+        let mut config = quinn::ClientConfig::new(Arc::new(tls));
+        config.transport_config(Arc::new(transport()));
+        let mut endpoint = Endpoint::client(SocketAddr::new(ip, 0)).map_err(Error::Bind)?;
+        endpoint.set_default_client_config(config);
+        Ok(Self {
+            endpoint,
+            links: Arc::default(),
+        })
+    }
+
+    /// Sends a request over the link to this peer.
+    ///
+    /// # Errors
+    /// [`Error::Connect`] when the peer has seen nothing of the request,
+    /// [`Error::Lost`] when it may have.
+    pub async fn call(&self, peer: SocketAddr, request: &PeerRequest) -> Result<ReplyStream> {
+        let link = self.link(peer).await?;
+        let Ok((send, receive)) = link.open_bi().await else {
+            self.links.lock().await.remove(&peer);
+            return Err(Error::Connect);
+        };
+        let mut writer = frame::writer(send);
+        frame::write(&mut writer, request).await?;
+        // The stream may be stopped already; then reading tells.
+        let _stopped = writer.get_mut().finish();
+        Ok(ReplyStream {
+            reader: frame::reader(receive),
+        })
+    }
+
+    async fn link(&self, peer: SocketAddr) -> Result<Connection> {
+        if let Some(link) = self.links.lock().await.get(&peer)
+            && link.close_reason().is_none()
+        {
+            return Ok(link.clone());
+        }
+        let connecting = self
+            .endpoint
+            .connect(peer, FLEET_SERVER_NAME)
+            .map_err(|_error| Error::Connect)?;
+        let link = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(|_elapsed| Error::Connect)?
+            .map_err(|_error| Error::Connect)?;
+        self.links.lock().await.insert(peer, link.clone());
+        Ok(link)
+    }
+}
--- /dev/null
+++ b/crates/rail_peer/src/lib.rs
@@ -0,0 +1,25 @@
+//! QUIC links between the processes of the fleet, with mutual TLS.
+//!
+//! Each call is one bidirectional stream: one [`PeerRequest`], then
+//! [`PeerReply`]s until the server finishes. Frames are length-delimited and
+//! encoded by `postcard`. Dropping a [`ReplyStream`] tells the server that
+//! nobody waits any more.
+
+pub mod client;
+pub mod error;
+mod frame;
+pub mod gossip;
+pub mod message;
+pub mod server;
+
+/// Commonly used items.
+pub mod prelude {
+    pub use crate::{
+        client::{PeerClient, ReplyStream},
+        error::{Error, Result},
+        gossip::Gossip,
+        message::{PeerReply, PeerRequest},
+        server::{Incoming, PeerServer, ReplySender},
+    };
+}
+pub use prelude::*;
--- /dev/null
+++ b/crates/rail_peer/src/server.rs
@@ -0,0 +1,124 @@
+//! The listening side of peer links.
+
+use crate::{
+    error::{Error, Result},
+    frame::{self, Writer},
+    message::{PeerReply, PeerRequest},
+};
+use quinn::{Connection, Endpoint, IdleTimeout, TransportConfig, crypto::rustls::QuicServerConfig};
+use rail_runtime::Keys;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::sync::mpsc;
+
+/// Application protocol name in the TLS handshake.
+pub(crate) const ALPN: &[u8] = b"tarragonrail/1";
+/// Calls that wait for the process before the endpoint pushes back.
+const INCOMING_QUEUE: usize = 1024;
+/// Time without any packet after which a link counts as lost.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval between packets that keep an idle link open.
+const KEEP_ALIVE: Duration = Duration::from_millis(500);
+/// Time in which a peer must send its request after opening a stream.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Listening endpoint; dropping it closes every link.
+#[derive(Debug)]
+pub struct PeerServer {
+    endpoint: Endpoint,
+}
+
+/// One call of a peer.
+#[derive(Debug)]
+pub struct Incoming {
+    /// What the peer asks.
+    pub request: PeerRequest,
+    /// Where replies go; dropping it ends the call.
+    pub replies: ReplySender,
+}
+
+/// Sends the replies of one call.
+#[derive(Debug)]
+pub struct ReplySender {
+    writer: Writer,
+}
+
+impl ReplySender {
+    /// Sends one reply.
+    ///
+    /// # Errors
+    /// [`Error::Lost`] when the peer is gone or waits no more.
+    pub async fn send(&mut self, reply: &PeerReply) -> Result<()> {
+        frame::write(&mut self.writer, reply).await
+    }
+
+    /// Ends the call after its last reply.
+    pub fn finish(mut self) {
+        // A stream that the peer has stopped needs no end mark.
+        let _stopped = self.writer.get_mut().finish();
+    }
+
+    /// Waits until the peer is gone or waits no more.
+    pub async fn closed(&mut self) {
+        // Any result means that nobody reads further replies.
+        let _reason = self.writer.get_mut().stopped().await;
+    }
+}
+
+impl PeerServer {
+    /// Binds the endpoint and gives incoming calls through the channel.
+    ///
+    /// # Errors
+    /// Fails when the keys are refused or the address can't be bound.
+    pub fn bind(address: SocketAddr, keys: &Keys) -> Result<(Self, mpsc::Receiver<Incoming>)> {
+        let tls = QuicServerConfig::try_from(keys.server_config(ALPN)?)
+            .map_err(|_error| Error::Cipher)?;
+        let mut config = quinn::ServerConfig::with_crypto(Arc::new(tls));
+        config.transport_config(Arc::new(transport()));
+        let endpoint = Endpoint::server(config, address).map_err(Error::Bind)?;
+        let (sender, receiver) = mpsc::channel(INCOMING_QUEUE);
+        tokio::spawn(accept_links(endpoint.clone(), sender));
+        Ok((Self { endpoint }, receiver))
+    }
+}
+
+impl Drop for PeerServer {
+    fn drop(&mut self) {
+        self.endpoint.close(0_u32.into(), b"stopping");
+    }
+}
+
+pub(crate) fn transport() -> TransportConfig {
+    let mut transport = TransportConfig::default();
+    transport.max_idle_timeout(IdleTimeout::try_from(IDLE_TIMEOUT).ok());
+    transport.keep_alive_interval(Some(KEEP_ALIVE));
+    transport.max_concurrent_bidi_streams(4096_u32.into());
+    transport
+}
+
+async fn accept_links(endpoint: Endpoint, sender: mpsc::Sender<Incoming>) {
+    while let Some(connecting) = endpoint.accept().await {
+        let sender = sender.clone();
+        tokio::spawn(async move {
+            if let Ok(connection) = connecting.await {
+                accept_calls(connection, sender).await;
+            }
+        });
+    }
+}
+
+async fn accept_calls(connection: Connection, sender: mpsc::Sender<Incoming>) {
+    while let Ok((send, receive)) = connection.accept_bi().await {
+        let sender = sender.clone();
+        tokio::spawn(async move {
+            let mut reader = frame::reader(receive);
+            let read = frame::read::<PeerRequest>(&mut reader);
+            if let Ok(Ok(Some(request))) = tokio::time::timeout(REQUEST_TIMEOUT, read).await {
+                let replies = ReplySender {
+                    writer: frame::writer(send),
+                };
+                // A closed channel means that the process is ending.
+                let _ended = sender.send(Incoming { request, replies }).await;
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/rail_platform/src/client.rs
@@ -0,0 +1,190 @@
+//! Single calls to the platform.
+
+use crate::{
+    error::{Error, Result},
+    object::{ConfigMap, ConfigMapList, KIND_LABEL, Object, ObjectKind, ObjectVersion},
+};
+use awc::{
+    Client, ClientResponse, Connector,
+    error::SendRequestError,
+    http::{Method, StatusCode},
+};
+use std::{
+    cell::Cell,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+/// Time in which the platform must answer a call.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest reply that is read, in bytes.
+pub const MAX_REPLY_BYTES: usize = 64 << 20;
+/// Namespace that holds the system's objects.
+pub const NAMESPACE: &str = "tarragonrail";
+
+/// Client of the platform object API; clones share connections and counts.
+#[derive(Clone)]
+pub struct PlatformClient {
+    http: Client,
+    objects_url: String,
+    calls: Rc<Cell<u64>>,
+}
+
+impl std::fmt::Debug for PlatformClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("PlatformClient")
+            .field("objects_url", &self.objects_url)
+            .finish()
+    }
+}
+
+impl PlatformClient {
+    /// Opens a client of the platform that dials from `local_ip`.
+    pub fn open(platform: SocketAddr, local_ip: IpAddr) -> Self {
+        let http = Client::builder()
+            .connector(
+                Connector::new()
+                    .limit(0)
+                    .local_address(local_ip)
+                    .timeout(CALL_TIMEOUT),
+            )
+            .timeout(CALL_TIMEOUT)
+            .finish();
+        let objects_url = format!("http://{platform}/api/v1/namespaces/{NAMESPACE}/configmaps");
+        Self {
+            http,
+            objects_url,
+            calls: Rc::new(Cell::new(0)),
+        }
+    }
+
+    /// Counts the calls made so far, watches included.
+    pub fn calls(&self) -> u64 {
+        self.calls.get()
+    }
+
+    /// Reads one object.
+    ///
+    /// # Errors
+    /// [`Error::NotFound`] when there is none, or a failure of the call.
+    pub async fn get(&self, name: &str) -> Result<Object> {
+        let url = format!("{}/{name}", self.objects_url);
+        let map: ConfigMap = read_json(self.send(Method::GET, &url, None).await?).await?;
+        Ok(map.into())
+    }
+
+    /// Creates an object if its name is free.
+    ///
+    /// # Errors
+    /// [`Error::AlreadyExists`] when the name is taken, or a failure of the call.
+    pub async fn create(&self, kind: ObjectKind, name: &str, value: &str) -> Result<Object> {
+        let body = ConfigMap::new(kind, name, "", value);
+        let reply = self
+            .send(Method::POST, &self.objects_url, Some(&body))
+            .await;
+        match reply {
+            Err(Error::Conflict) => Err(Error::AlreadyExists),
+            Err(error) => Err(error),
+            Ok(reply) => read_json::<ConfigMap>(reply).await.map(Object::from),
+        }
+    }
+
+    /// Replaces an object that still has this version.
+    ///
+    /// # Errors
+    /// [`Error::Conflict`] when it has another version, or a failure of the call.
+    pub async fn update(
+        &self,
+        kind: ObjectKind,
+        name: &str,
+        value: &str,
+        expected_version: &str,
+    ) -> Result<Object> {
+        let url = format!("{}/{name}", self.objects_url);
+        let body = ConfigMap::new(kind, name, expected_version, value);
+        let reply = self.send(Method::PUT, &url, Some(&body)).await?;
+        read_json::<ConfigMap>(reply).await.map(Object::from)
+    }
+
+    /// Deletes an object.
+    ///
+    /// # Errors
+    /// [`Error::NotFound`] when there is none, or a failure of the call.
+    pub async fn delete(&self, name: &str) -> Result<()> {
+        let url = format!("{}/{name}", self.objects_url);
+        self.send(Method::DELETE, &url, None).await?;
+        Ok(())
+    }
+
+    /// Lists all objects of a kind, with the version at which the list was taken.
+    ///
+    /// # Errors
+    /// Any failure of the call.
+    pub async fn list(&self, kind: ObjectKind) -> Result<(Vec<Object>, ObjectVersion)> {
+        let url = format!("{}?{}", self.objects_url, selector(kind));
+        let list: ConfigMapList = read_json(self.send(Method::GET, &url, None).await?).await?;
+        let objects = list.items.into_iter().map(Object::from).collect();
+        Ok((objects, list.metadata.resource_version))
+    }
+
+    pub(crate) async fn open_watch(
+        &self,
+        kind: ObjectKind,
+        since: &str,
+    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>> {
+        let url = format!(
+            "{}?{}&watch=true&allowWatchBookmarks=true&resourceVersion={since}",
+            self.objects_url,
+            selector(kind)
+        );
+        self.send(Method::GET, &url, None).await
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        url: &str,
+        body: Option<&ConfigMap>,
+    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>> {
+        self.calls.set(self.calls.get() + 1);
+        let request = self.http.request(method, url);
+        let sent = match body {
+            Some(body) => request.send_json(body).await,
+            None => request.send().await,
+        };
+        let reply = sent.map_err(|error| match error {
+            SendRequestError::Connect(_) => Error::Connect,
+            _ => Error::ReplyLost,
+        })?;
+        match reply.status() {
+            status if status.is_success() => Ok(reply),
+            StatusCode::NOT_FOUND => Err(Error::NotFound),
+            StatusCode::CONFLICT => Err(Error::Conflict),
+            StatusCode::TOO_MANY_REQUESTS => Err(Error::Throttled),
+            StatusCode::SERVICE_UNAVAILABLE => Err(Error::Unavailable),
+            status => Err(Error::Status(status.as_u16())),
+        }
+    }
+}
+
+pub(crate) type WatchChunk = std::result::Result<bytes::Bytes, awc::error::PayloadError>;
+
+fn selector(kind: ObjectKind) -> String {
+    format!("labelSelector={KIND_LABEL}%3D{}", kind.label())
+}
+
+async fn read_json<T: serde::de::DeserializeOwned>(
+    mut reply: ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin>,
+) -> Result<T> {
+    let body = reply.body().limit(MAX_REPLY_BYTES).await.map_err(lost)?;
+    serde_json::from_slice(&body).map_err(unreadable)
+}
+
+fn lost(_error: awc::error::PayloadError) -> Error {
+    Error::ReplyLost
+}
+
+fn unreadable(_error: serde_json::Error) -> Error {
+    Error::Unreadable
+}
--- /dev/null
+++ b/crates/rail_platform/src/object.rs
@@ -0,0 +1,127 @@
+//! Objects and their wire form.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Version of an object as the platform gives it; opaque.
+pub type ObjectVersion = String;
+/// Name of an object.
+pub type ObjectName = String;
+
+/// Key of the only entry in an object's data.
+const VALUE_KEY: &str = "value";
+/// Label that names the kind of an object.
+pub(crate) const KIND_LABEL: &str = "tarragonrail-kind";
+
+/// Kinds of objects that the system keeps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ObjectKind {
+    /// Root of the accepted configuration.
+    ConfigHead,
+    /// Write-once part of a configuration.
+    ConfigSegment,
+    /// Session of a scheduler.
+    Session,
+    /// Owner of a resource.
+    Owner,
+    /// Claim of a non-idempotent request.
+    Claim,
+    /// Request that crashes its upstreams.
+    Quarantine,
+}
+
+impl ObjectKind {
+    /// Names the kind in labels.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::ConfigHead => "config-head",
+            Self::ConfigSegment => "config-segment",
+            Self::Session => "session",
+            Self::Owner => "owner",
+            Self::Claim => "claim",
+            Self::Quarantine => "quarantine",
+        }
+    }
+}
+
+/// A stored value with its version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Object {
+    /// Name.
+    pub name: ObjectName,
+    /// Version.
+    pub version: ObjectVersion,
+    /// Value.
+    pub value: String,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct ConfigMap {
+    #[serde(default)]
+    pub api_version: String,
+    #[serde(default)]
+    pub kind: String,
+    pub metadata: Metadata,
+    #[serde(default)]
+    pub data: BTreeMap<String, String>,
+}
+
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct Metadata {
+    #[serde(default)]
+    pub name: ObjectName,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub resource_version: ObjectVersion,
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub labels: BTreeMap<String, String>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct ConfigMapList {
+    pub metadata: Metadata,
+    pub items: Vec<ConfigMap>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(crate) struct WatchEvent {
+    #[serde(rename = "type")]
+    pub event: WatchEventType,
+    pub object: ConfigMap,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub(crate) enum WatchEventType {
+    Added,
+    Modified,
+    Deleted,
+    Bookmark,
+}
+
+impl ConfigMap {
+    pub(crate) fn new(kind: ObjectKind, name: &str, version: &str, value: &str) -> Self {
+        let labels = BTreeMap::from([(KIND_LABEL.to_owned(), kind.label().to_owned())]);
+        Self {
+            api_version: "v1".to_owned(),
+            kind: "ConfigMap".to_owned(),
+            metadata: Metadata {
+                name: name.to_owned(),
+                resource_version: version.to_owned(),
+                labels,
+            },
+            data: BTreeMap::from([(VALUE_KEY.to_owned(), value.to_owned())]),
+        }
+    }
+}
+
+impl From<ConfigMap> for Object {
+    fn from(mut map: ConfigMap) -> Self {
+        Self {
+            name: map.metadata.name,
+            version: map.metadata.resource_version,
+            value: map.data.remove(VALUE_KEY).unwrap_or_default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rail_request/src/lib.rs
@@ -0,0 +1,17 @@
+//! What happens to a request: its types, outcomes and reasons.
+//!
+//! [`WorkOrder`] is what a gateway submits to the owner of an engine;
+//! [`WorkEvent`]s come back. [`NotRun`] is only ever said when no byte of the
+//! request reached an upstream, or the upstream refused it before running.
+
+pub mod outcome;
+pub mod work;
+
+/// Commonly used items.
+pub mod prelude {
+    pub use crate::{
+        outcome::{Failed, NotRun, NotRunReason},
+        work::{RequestId, WorkEvent, WorkOrder},
+    };
+}
+pub use prelude::*;
--- /dev/null
+++ b/crates/rail_runtime/src/settings.rs
@@ -0,0 +1,343 @@
+//! Settings from flags and environment variables, checked before start.
+//!
+//! The flag `--session-ttl-ms` is the variable `TARRAGON_SESSION_TTL_MS`; the
+//! flag goes first. All faults are reported together.
+
+use crate::logs::LogFormat;
+use gumdrop::Options;
+use std::{
+    net::{IpAddr, SocketAddr},
+    str::FromStr,
+    time::Duration,
+};
+
+/// Exit code when a setting is not valid.
+pub const EXIT_BAD_SETTINGS: i32 = 2;
+
+/// Result of reading settings.
+pub type Result<T> = std::result::Result<T, Faults>;
+
+/// One setting that is missing or not valid.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Fault {
+    /// No flag, no variable and no default.
+    #[error("--{name} (or {variable}) is required")]
+    Missing {
+        /// Flag name.
+        name: &'static str,
+        /// Environment variable.
+        variable: String,
+    },
+    /// The value does not parse.
+    #[error("--{name}: {value:?} is not valid: {reason}")]
+    Invalid {
+        /// Flag name.
+        name: &'static str,
+        /// Value as given.
+        value: String,
+        /// Why it was refused.
+        reason: String,
+    },
+}
+
+/// All faults found in one pass.
+#[derive(Debug, thiserror::Error)]
+#[error("{} setting(s) not valid", .0.len())]
+pub struct Faults(pub Vec<Fault>);
+
+/// Reads typed settings and collects faults.
+#[derive(Debug, Default)]
+pub struct SettingReader {
+    faults: Vec<Fault>,
+}
+
+impl SettingReader {
+    /// Reads a setting that has no default.
+    pub fn required<T: FromStr<Err: ToString> + Default>(
+        &mut self,
+        name: &'static str,
+        flag: Option<String>,
+    ) -> T {
+        let variable = variable_name(name);
+        if let Some(value) = flag.or_else(|| std::env::var(&variable).ok()) {
+            return self.parse(name, value);
+        }
+        self.faults.push(Fault::Missing { name, variable });
+        T::default()
+    }
+
+    /// Reads a setting, or takes the default.
+    pub fn or<T: FromStr<Err: ToString> + Default>(
+        &mut self,
+        name: &'static str,
+        flag: Option<String>,
+        default: T,
+    ) -> T {
+        match flag.or_else(|| std::env::var(variable_name(name)).ok()) {
+            Some(value) => self.parse(name, value),
+            None => default,
+        }
+    }
+
+    /// Records a fault unless the condition holds.
+    pub fn check(&mut self, holds: bool, name: &'static str, value: &str, reason: &str) {
+        if !holds {
+            self.faults.push(Fault::Invalid {
+                name,
+                value: value.to_owned(),
+                reason: reason.to_owned(),
+            });
+        }
+    }
+
+    /// Ends reading.
+    ///
+    /// # Errors
+    /// Returns every fault found so far.
+    pub fn finish(self) -> Result<()> {
+        if self.faults.is_empty() {
+            Ok(())
+        } else {
+            Err(Faults(self.faults))
+        }
+    }
+
+    fn parse<T: FromStr<Err: ToString> + Default>(
+        &mut self,
+        name: &'static str,
+        value: String,
+    ) -> T {
+        match value.parse() {
+            Ok(parsed) => parsed,
+            Err(error) => {
+                self.faults.push(Fault::Invalid {
+                    name,
+                    value,
+                    reason: error.to_string(),
+                });
+                T::default()
+            }
+        }
+    }
+}
+
+fn variable_name(flag: &str) -> String {
+    format!("TARRAGON_{}", flag.replace('-', "_").to_uppercase())
+}
+
+/// Flags of the daemons that make up an entry host.
+#[derive(Debug, Options)]
+pub struct FleetFlags {
+    /// print this help
+    pub help: bool,
+    /// print the version
+    #[options(no_short)]
+    pub version: bool,
+    /// check the settings and exit
+    #[options(no_short)]
+    pub check: bool,
+    /// name of this host
+    #[options(no_short)]
+    pub host: Option<String>,
+    /// availability zone of this host
+    #[options(no_short)]
+    pub zone: Option<String>,
+    /// IP address that this host listens on and is reached at
+    #[options(no_short)]
+    pub ip: Option<String>,
+    /// port of the caller API (8080)
+    #[options(no_short)]
+    pub caller_port: Option<String>,
+    /// UDP port of the scheduler's peer endpoint (7402)
+    #[options(no_short)]
+    pub peer_port: Option<String>,
+    /// port of the operator RPC (7403)
+    #[options(no_short)]
+    pub operator_port: Option<String>,
+    /// port of the scheduler's metrics (7404)
+    #[options(no_short)]
+    pub metrics_port: Option<String>,
+    /// address of the platform object API, as IP:port
+    #[options(no_short)]
+    pub platform: Option<String>,
+    /// authority certificate: PEM file or PEM text
+    #[options(no_short)]
+    pub ca: Option<String>,
+    /// certificate of this host: PEM file or PEM text
+    #[options(no_short)]
+    pub cert: Option<String>,
+    /// private key of this host: PEM file or PEM text
+    #[options(no_short)]
+    pub key: Option<String>,
+    /// session time to live in milliseconds (3000)
+    #[options(no_short)]
+    pub session_ttl_ms: Option<String>,
+    /// interval between heartbeats in milliseconds (500)
+    #[options(no_short)]
+    pub heartbeat_ms: Option<String>,
+    /// lifetime of an entry-host answer in milliseconds (5000)
+    #[options(no_short)]
+    pub entry_lifetime_ms: Option<String>,
+    /// placement policy: rendezvous, hash-lru, hash-lfu, least-loaded or no-permits
+    #[options(no_short)]
+    pub policy: Option<String>,
+    /// log level specification (info)
+    #[options(no_short)]
+    pub log_level: Option<String>,
+    /// log format: json or text (json)
+    #[options(no_short)]
+    pub log_format: Option<String>,
+}
+
+/// Checked settings of a daemon.
+#[derive(Debug, Clone)]
+pub struct FleetSettings {
+    /// Name of this host.
+    pub host: String,
+    /// Availability zone of this host.
+    pub zone: String,
+    /// Address of this host.
+    pub ip: IpAddr,
+    /// Port of the caller API.
+    pub caller_port: u16,
+    /// Port of the scheduler's peer endpoint.
+    pub peer_port: u16,
+    /// Port of the operator RPC.
+    pub operator_port: u16,
+    /// Port of the scheduler's metrics.
+    pub metrics_port: u16,
+    /// Address of the platform object API.
+    pub platform: SocketAddr,
+    /// Authority certificate, file or text.
+    pub ca: String,
+    /// Host certificate, file or text.
+    pub cert: String,
+    /// Host key, file or text.
+    pub key: String,
+    /// Session time to live.
+    pub session_ttl: Duration,
+    /// Interval between heartbeats.
+    pub heartbeat: Duration,
+    /// Lifetime of an entry-host answer.
+    pub entry_lifetime: Duration,
+    /// Name of the placement policy.
+    pub policy: String,
+    /// Log level specification.
+    pub log_level: String,
+    /// Log line format.
+    pub log_format: LogFormat,
+}
+
+impl FleetSettings {
+    /// Reads the settings of this process; prints and exits on `--help`,
+    /// `--version`, `--check` or a fault (code 2).
+    pub fn open() -> Self {
+        let flags = FleetFlags::parse_args_default_or_exit();
+        if flags.version {
+            println!("{}", env!("CARGO_PKG_VERSION"));
+            std::process::exit(0);
+        }
+        let only_check = flags.check;
+        match Self::from_flags(flags) {
+            Ok(_) if only_check => {
+                println!("settings are valid");
+                std::process::exit(0);
+            }
+            Ok(settings) => settings,
+            Err(faults) => exit_with_faults(&faults),
+        }
+    }
+
+    /// Checks flags and environment variables.
+    ///
+    /// # Errors
+    /// Returns all faults at once.
+    pub fn from_flags(flags: FleetFlags) -> Result<Self> {
+        let mut reader = SettingReader::default();
+        let format: String = reader.or("log-format", flags.log_format, "json".to_owned());
+        reader.check(
+            matches!(format.as_str(), "json" | "text"),
+            "log-format",
+            &format,
+            "expected json or text",
+        );
+        let session_ttl_ms = reader.or("session-ttl-ms", flags.session_ttl_ms, 3000_u64);
+        let heartbeat_ms = reader.or("heartbeat-ms", flags.heartbeat_ms, 500_u64);
+        reader.check(
+            heartbeat_ms > 0 && session_ttl_ms >= 2 * heartbeat_ms,
+            "session-ttl-ms",
+            &session_ttl_ms.to_string(),
+            "expected at least twice the heartbeat interval, which must not be 0",
+        );
+        let ip: ParsedIp = reader.required("ip", flags.ip);
+        let platform: ParsedSocket = reader.required("platform", flags.platform);
+        let lifetime_ms = reader.or("entry-lifetime-ms", flags.entry_lifetime_ms, 5000_u64);
+        let settings = Self {
+            host: reader.required("host", flags.host),
+            zone: reader.required("zone", flags.zone),
+            ip: ip.0,
+            caller_port: reader.or("caller-port", flags.caller_port, 8080),
+            peer_port: reader.or("peer-port", flags.peer_port, 7402),
+            operator_port: reader.or("operator-port", flags.operator_port, 7403),
+            metrics_port: reader.or("metrics-port", flags.metrics_port, 7404),
+            platform: platform.0,
+            ca: reader.required("ca", flags.ca),
+            cert: reader.required("cert", flags.cert),
+            key: reader.required("key", flags.key),
+            session_ttl: Duration::from_millis(session_ttl_ms),
+            heartbeat: Duration::from_millis(heartbeat_ms),
+            entry_lifetime: Duration::from_millis(lifetime_ms),
+            policy: reader.or("policy", flags.policy, "rendezvous".to_owned()),
+            log_level: reader.or("log-level", flags.log_level, "info".to_owned()),
+            log_format: if format == "text" {
+                LogFormat::Text
+            } else {
+                LogFormat::Json
+            },
+        };
+        reader.finish()?;
+        Ok(settings)
+    }
+}
+
+/// Prints every fault and exits with code 2.
+pub fn exit_with_faults(faults: &Faults) -> ! {
+    for fault in &faults.0 {
+        eprintln!("{fault}");
+    }
+    std::process::exit(EXIT_BAD_SETTINGS);
+}
+
+#[derive(Debug)]
+struct ParsedIp(IpAddr);
+
+impl Default for ParsedIp {
+    fn default() -> Self {
+        Self(IpAddr::from([0, 0, 0, 0]))
+    }
+}
+
+impl FromStr for ParsedIp {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(s: &str) -> std::result::Result<Self, Self::Err> {
+        s.parse().map(Self)
+    }
+}
+
+#[derive(Debug)]
+struct ParsedSocket(SocketAddr);
+
+impl Default for ParsedSocket {
+    fn default() -> Self {
+        Self(SocketAddr::from(([0, 0, 0, 0], 0)))
+    }
+}
+
+impl FromStr for ParsedSocket {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(s: &str) -> std::result::Result<Self, Self::Err> {
+        s.parse().map(Self)
+    }
+}
--- /dev/null
+++ b/crates/tarragon_admin/src/operator.rs
@@ -0,0 +1,303 @@
+//! Serves the operator schema.
+
+use crate::accept::{Acceptor, Error};
+use rail_api::operator::{self as api, operator_server::Operator};
+use rail_config::{Change, Fleet, Upstream, UpstreamKind, Urgency};
+use rail_peer::Gossip;
+use tonic::{Request, Response, Status};
+
+/// Metadata key that carries the generation that stands, on a conflict.
+const GENERATION_KEY: &str = "tarragon-generation";
+
+type Reply<T> = Result<Response<T>, Status>;
+
+/// Operator RPC of one process.
+#[derive(Debug)]
+pub struct OperatorRpc {
+    acceptor: Acceptor,
+    gossip: Gossip,
+}
+
+impl OperatorRpc {
+    /// Serves changes through the acceptor and status from heartbeats.
+    pub fn new(acceptor: Acceptor, gossip: Gossip) -> Self {
+        Self { acceptor, gossip }
+    }
+
+    async fn change(
+        &self,
+        changes: Vec<Change>,
+        expected: Option<api::Expected>,
+    ) -> Reply<api::ChangeReply> {
+        let accepted = self
+            .acceptor
+            .accept(changes, expected.map(|e| e.generation))
+            .await;
+        let generation = accepted.map_err(|error| to_status(&error))?;
+        Ok(Response::new(api::ChangeReply { generation }))
+    }
+}
+
+#[tonic::async_trait]
+impl Operator for OperatorRpc {
+    async fn register_base(
+        &self,
+        request: Request<api::RegisterBaseRequest>,
+    ) -> Reply<api::ChangeReply> {
+        let request = request.into_inner();
+        let expected = request.expected;
+        self.change(vec![base_change(request)?], expected).await
+    }
+
+    async fn register_adapter(
+        &self,
+        request: Request<api::RegisterAdapterRequest>,
+    ) -> Reply<api::ChangeReply> {
+        let request = request.into_inner();
+        let expected = request.expected;
+        self.change(vec![adapter_change(request)], expected).await
+    }
+
+    async fn register_version(
+        &self,
+        request: Request<api::RegisterVersionRequest>,
+    ) -> Reply<api::ChangeReply> {
+        let request = request.into_inner();
+        let expected = request.expected;
+        self.change(vec![version_change(request)], expected).await
+    }
+
+    async fn register_upstream(
+        &self,
+        request: Request<api::RegisterUpstreamRequest>,
+    ) -> Reply<api::ChangeReply> {
+        let request = request.into_inner();
+        let expected = request.expected;
+        self.change(vec![upstream_change(request)?], expected).await
+    }
+
+    async fn set_urgency_default(
+        &self,
+        request: Request<api::SetUrgencyDefaultRequest>,
+    ) -> Reply<api::ChangeReply> {
+        let request = request.into_inner();
+        let expected = request.expected;
+        self.change(vec![urgency_change(request)?], expected).await
+    }
+
+    async fn drain_upstream(
+        &self,
+        request: Request<api::DrainUpstreamRequest>,
+    ) -> Reply<api::ChangeReply> {
+        let request = request.into_inner();
+        let expected = request.expected;
+        self.change(vec![drain_change(request)], expected).await
+    }
+
+    async fn apply(&self, request: Request<api::ApplyRequest>) -> Reply<api::ChangeReply> {
+        let request = request.into_inner();
+        let changes = request
+            .changes
+            .into_iter()
+            .map(any_change)
+            .collect::<Result<_, _>>()?;
+        self.change(changes, request.expected).await
+    }
+
+    async fn list(&self, _request: Request<api::ListRequest>) -> Reply<api::ListReply> {
+        let fleet = self
+            .acceptor
+            .read()
+            .await
+            .map_err(|error| to_status(&error))?;
+        Ok(Response::new(list_reply(&fleet)))
+    }
+
+    async fn status(&self, _request: Request<api::StatusRequest>) -> Reply<api::StatusReply> {
+        let fleet = self
+            .acceptor
+            .read()
+            .await
+            .map_err(|error| to_status(&error))?;
+        let members = self.gossip.members().into_iter();
+        let processes = members.map(|(heartbeat, age)| api::ProcessStatus {
+            host: heartbeat.host,
+            role: heartbeat.role.name().to_owned(),
+            incarnation: heartbeat.incarnation,
+            generation: heartbeat.generation,
+            leaving: heartbeat.leaving,
+            age_ms: age.as_millis() as u64,
+            owned_engines: heartbeat.owned,
+        });
+        Ok(Response::new(api::StatusReply {
+            accepted_generation: fleet.generation,
+            processes: processes.collect(),
+        }))
+    }
+}
+
+fn any_change(change: api::Change) -> Result<Change, Status> {
+    match change.change {
+        Some(api::change::Change::Base(request)) => base_change(request),
+        Some(api::change::Change::Adapter(request)) => Ok(adapter_change(request)),
+        Some(api::change::Change::Version(request)) => Ok(version_change(request)),
+        Some(api::change::Change::Upstream(request)) => upstream_change(request),
+        Some(api::change::Change::UrgencyDefault(request)) => urgency_change(request),
+        Some(api::change::Change::Drain(request)) => Ok(drain_change(request)),
+        None => Err(Status::invalid_argument(
+            "change is missing or not known to this server",
+        )),
+    }
+}
+
+fn base_change(request: api::RegisterBaseRequest) -> Result<Change, Status> {
+    let urgency_default = match request.urgency_default() {
+        api::Urgency::Unspecified => Urgency::Urgent,
+        other => to_urgency(other)?,
+    };
+    Ok(Change::RegisterBase {
+        base: request.base,
+        urgency_default,
+    })
+}
+
+fn adapter_change(request: api::RegisterAdapterRequest) -> Change {
+    Change::RegisterAdapter {
+        base: request.base,
+        adapter: request.adapter,
+    }
+}
+
+fn version_change(request: api::RegisterVersionRequest) -> Change {
+    let api::RegisterVersionRequest {
+        base,
+        adapter,
+        version,
+        ..
+    } = request;
+    Change::RegisterVersion {
+        base,
+        adapter,
+        version,
+    }
+}
+
+fn urgency_change(request: api::SetUrgencyDefaultRequest) -> Result<Change, Status> {
+    let urgency = to_urgency(request.urgency())?;
+    Ok(Change::SetUrgencyDefault {
+        base: request.base,
+        urgency,
+    })
+}
+
+fn drain_change(request: api::DrainUpstreamRequest) -> Change {
+    Change::DrainUpstream {
+        name: request.name,
+        leaving: request.leaving,
+    }
+}
+
+fn upstream_change(request: api::RegisterUpstreamRequest) -> Result<Change, Status> {
+    let upstream = request
+        .upstream
+        .ok_or_else(|| Status::invalid_argument("upstream is missing"))?;
+    let kind = match upstream.kind() {
+        api::UpstreamKind::Engine => UpstreamKind::Engine,
+        api::UpstreamKind::Service => UpstreamKind::Service,
+        api::UpstreamKind::Unspecified => {
+            return Err(Status::invalid_argument("upstream kind is missing"));
+        }
+    };
+    let address = upstream
+        .address
+        .parse()
+        .map_err(|_error| Status::invalid_argument("upstream address must be IP:port"))?;
+    Ok(Change::RegisterUpstream {
+        name: upstream.name,
+        upstream: Upstream {
+            kind,
+            group: upstream.group,
+            address,
+            zone: upstream.zone,
+            slots: upstream.slots,
+            batch: upstream.batch,
+            checks_fencing: upstream.checks_fencing,
+            leaving: upstream.leaving,
+        },
+    })
+}
+
+fn to_urgency(urgency: api::Urgency) -> Result<Urgency, Status> {
+    match urgency {
+        api::Urgency::Urgent => Ok(Urgency::Urgent),
+        api::Urgency::Deferrable => Ok(Urgency::Deferrable),
+        api::Urgency::Unspecified => Err(Status::invalid_argument("urgency is missing")),
+    }
+}
+
+fn from_urgency(urgency: Urgency) -> api::Urgency {
+    match urgency {
+        Urgency::Urgent => api::Urgency::Urgent,
+        Urgency::Deferrable => api::Urgency::Deferrable,
+    }
+}
+
+fn list_reply(fleet: &Fleet) -> api::ListReply {
+    let bases = fleet.bases.iter().map(|(base, entry)| api::Base {
+        base: base.clone(),
+        urgency_default: from_urgency(entry.urgency_default).into(),
+    });
+    let adapters = fleet.adapters.iter().flat_map(|(base, adapters)| {
+        adapters.iter().map(|(adapter, entry)| api::Adapter {
+            base: base.clone(),
+            adapter: adapter.clone(),
+            versions: entry
+                .versions
+                .iter()
+                .map(|version| api::Version {
+                    version: version.clone(),
+                })
+                .collect(),
+        })
+    });
+    let upstreams = fleet
+        .upstreams
+        .iter()
+        .map(|(name, upstream)| api::Upstream {
+            name: name.clone(),
+            kind: match upstream.kind {
+                UpstreamKind::Engine => api::UpstreamKind::Engine.into(),
+                UpstreamKind::Service => api::UpstreamKind::Service.into(),
+            },
+            group: upstream.group.clone(),
+            address: upstream.address.to_string(),
+            zone: upstream.zone.clone(),
+            slots: upstream.slots,
+            batch: upstream.batch,
+            checks_fencing: upstream.checks_fencing,
+            leaving: upstream.leaving,
+        });
+    api::ListReply {
+        generation: fleet.generation,
+        bases: bases.collect(),
+        adapters: adapters.collect(),
+        upstreams: upstreams.collect(),
+    }
+}
+
+fn to_status(error: &Error) -> Status {
+    let text = error.to_string();
+    match error {
+        Error::Change(_) => Status::invalid_argument(text),
+        Error::Conflict { current, .. } => {
+            let mut status = Status::failed_precondition(text);
+            if let Ok(value) = current.to_string().parse() {
+                status.metadata_mut().insert(GENERATION_KEY, value);
+            }
+            status
+        }
+        Error::Contended => Status::aborted(text),
+        Error::Platform(_) | Error::Stopping => Status::unavailable(text),
+        Error::OutcomeUnknown(_) => Status::unknown(text),
+    }
+}
--- /dev/null
+++ b/crates/tarragon_gateway/src/metrics.rs
@@ -0,0 +1,29 @@
+//! Counters of the gateway.
+
+use prometheus_client::metrics::counter::Counter;
+use rail_runtime::{Metrics, metrics::Reasons};
+
+/// Counters of the gateway.
+#[derive(Debug, Clone)]
+pub struct GatewayMetrics {
+    /// Requests answered in whole.
+    pub answers: Counter,
+    /// Requests refused, by reason.
+    pub refusals: Reasons,
+    /// Requests that failed after dispatch, by reason.
+    pub failures: Reasons,
+    /// Attempts at another candidate, by reason.
+    pub retries: Reasons,
+}
+
+impl GatewayMetrics {
+    /// Registers all metrics.
+    pub fn register(metrics: &Metrics) -> Self {
+        Self {
+            answers: metrics.counter("gateway_answers", "Requests answered in whole"),
+            refusals: metrics.reasons("gateway_refusals", "Requests refused"),
+            failures: metrics.reasons("gateway_failures", "Requests that failed after dispatch"),
+            retries: metrics.reasons("gateway_retries", "Attempts at another candidate"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon_gateway/src/problem.rs
@@ -0,0 +1,122 @@
+//! Errors as callers see them: problem details with a stable reason.
+
+use actix_web::{HttpResponse, ResponseError, http::StatusCode};
+use rail_config::{ModelNameError, ResolveError};
+use rail_request::{Failed, NotRun, NotRunReason};
+use serde::Serialize;
+use std::time::Duration;
+
+/// Result of a caller's request.
+pub type Result<T> = std::result::Result<T, Problem>;
+
+/// Why a caller gets no answer.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Problem {
+    /// The body is not what the call takes.
+    #[error("request body is not valid: {0}")]
+    Body(String),
+    /// The body is too large.
+    #[error("request body is too large")]
+    TooLarge,
+    /// The model name is not valid.
+    #[error("model name is not valid: {0}")]
+    ModelName(#[from] ModelNameError),
+    /// The model name is not registered.
+    #[error("{0}")]
+    Unknown(#[from] ResolveError),
+    /// No plain service has this name.
+    #[error("unknown service")]
+    UnknownService,
+    /// The request was not run.
+    #[error("{0}")]
+    NotRun(#[from] NotRun),
+    /// The request may have run and has no whole answer.
+    #[error("failed: {0}")]
+    Failed(Failed),
+}
+
+/// Problem details as sent.
+#[derive(Debug, Serialize)]
+pub struct ProblemBody {
+    /// Kind of the problem as a relative reference.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// Text for people.
+    pub title: String,
+    /// HTTP status.
+    pub status: u16,
+    /// Stable reason for programs.
+    pub reason: String,
+    /// Whether the request ran: `no`, or `unknown`.
+    pub ran: &'static str,
+    /// When to come back, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Problem {
+    /// Names the reason in its stable form.
+    pub fn reason(&self) -> String {
+        match self {
+            Self::Body(_) => "invalid_body".to_owned(),
+            Self::TooLarge => "body_too_large".to_owned(),
+            Self::ModelName(_) => "invalid_model_name".to_owned(),
+            Self::Unknown(ResolveError::UnknownBase) => "unknown_base".to_owned(),
+            Self::Unknown(ResolveError::UnknownAdapter) => "unknown_adapter".to_owned(),
+            Self::Unknown(ResolveError::UnknownVersion) => "unknown_version".to_owned(),
+            Self::UnknownService => "unknown_service".to_owned(),
+            Self::NotRun(not_run) => not_run.reason.to_string(),
+            Self::Failed(failed) => failed.to_string(),
+        }
+    }
+
+    /// Builds the problem details.
+    pub fn body(&self) -> ProblemBody {
+        let reason = self.reason();
+        ProblemBody {
+            kind: format!("/problems/{reason}"),
+            title: self.to_string(),
+            status: self.status_code().as_u16(),
+            ran: if matches!(self, Self::Failed(_)) {
+                "unknown"
+            } else {
+                "no"
+            },
+            retry_after_ms: self.retry_after().map(|time| time.as_millis() as u64),
+            reason,
+        }
+    }
+
+    fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::NotRun(not_run) => Some(not_run.retry_after),
+            _ => None,
+        }
+    }
+}
+
+impl ResponseError for Problem {
+    fn status_code(&self) -> StatusCode {
+        match self {
+            Self::Body(_) | Self::ModelName(_) => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Unknown(_) | Self::UnknownService => StatusCode::NOT_FOUND,
+            Self::NotRun(not_run) => match not_run.reason {
+                NotRunReason::Overloaded => StatusCode::TOO_MANY_REQUESTS,
+                NotRunReason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
+                _ => StatusCode::SERVICE_UNAVAILABLE,
+            },
+            Self::Failed(_) => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    fn error_response(&self) -> HttpResponse {
+        let mut response = HttpResponse::build(self.status_code());
+        if let Some(time) = self.retry_after() {
+            let seconds = time.as_secs_f64().ceil() as u64;
+            response.insert_header(("retry-after", seconds.max(1).to_string()));
+        }
+        let body = serde_json::to_string(&self.body()).unwrap_or_default();
+        response.content_type("application/problem+json").body(body)
+    }
+}
--- /dev/null
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -0,0 +1,78 @@
+//! Owns engines: admission, residency and dispatch.
+//!
+//! One process runs on each entry host. [`session`] keeps the session alive
+//! and takes engines, [`engine`] runs one owned engine, [`serve`] answers the
+//! calls of peers.
+
+mod engine;
+mod http;
+mod metrics;
+mod serve;
+mod session;
+
+use rail_lease::SessionRecord;
+use rail_member::{Heartbeat, Role};
+use rail_peer::{Gossip, PeerClient, PeerServer};
+use rail_platform::{ConfigFollower, PlatformClient};
+use rail_runtime::{FleetSettings, Keys, Metrics, MonotonicClock, StopSignal, start_logging};
+use std::net::SocketAddr;
+
+#[derive(Debug, thiserror::Error)]
+enum Error {
+    #[error(transparent)]
+    Log(#[from] rail_runtime::logs::LogError),
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    #[error(transparent)]
+    Keys(#[from] rail_runtime::keys::Error),
+    #[error(transparent)]
+    Peer(#[from] rail_peer::Error),
+}
+
+#[actix_web::main]
+async fn main() -> Result<(), Error> {
+    let settings = FleetSettings::open();
+    let _logger = start_logging(&settings.log_level, settings.log_format)?;
+    let stop = StopSignal::open()?;
+    let keys = Keys::open(&settings.ca, &settings.cert, &settings.key)?;
+    let registry = Metrics::default();
+    let counters = metrics::SchedulerMetrics::register(&registry);
+    let address = SocketAddr::new(settings.ip, settings.peer_port);
+    let (server, incoming) = PeerServer::bind(address, &keys)?;
+    let client = PeerClient::open(settings.ip, &keys)?;
+    let platform = PlatformClient::open(settings.platform, settings.ip);
+    let config = ConfigFollower::spawn(platform.clone());
+    let own = Heartbeat::start(&settings.host, &settings.zone, Role::Scheduler);
+    let gossip = Gossip::spawn(client, own, settings.heartbeat);
+    let record = SessionRecord {
+        session_id: rand::random(),
+        host: settings.host.clone(),
+        zone: settings.zone.clone(),
+        address,
+        ttl_ms: settings.session_ttl.as_millis() as u64,
+        renewals: 0,
+        leaving: false,
+        revoked: false,
+    };
+    let clock = MonotonicClock::start();
+    let session = session::Session::spawn(
+        record,
+        clock,
+        platform,
+        config.clone(),
+        gossip.clone(),
+        counters.clone(),
+    );
+    http::spawn(
+        SocketAddr::new(settings.ip, settings.metrics_port),
+        registry,
+    )?;
+    serve::spawn(incoming, session.clone(), gossip.clone(), config, counters);
+    log::info!("scheduler of {} listens on {address}", settings.host);
+    stop.wait().await;
+    log::info!("scheduler of {} is leaving", settings.host);
+    gossip.update_own(|own| own.leaving = true);
+    session.leave().await;
+    drop(server);
+    Ok(())
+}
--- /dev/null
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -0,0 +1,100 @@
+//! Answers the calls of peers.
+
+use crate::{engine::Submit, metrics::SchedulerMetrics, session::Session};
+use rail_config::ModelName;
+use rail_peer::{Gossip, Incoming, PeerReply, PeerRequest, ReplySender};
+use rail_platform::ConfigFollower;
+use rail_request::{NotRun, NotRunReason, WorkEvent, WorkOrder};
+use std::time::Duration;
+use tokio::sync::mpsc;
+
+/// Events of one request that wait for the link.
+const EVENT_QUEUE: usize = 64;
+/// When a caller should come back after another process took the engine.
+const TRANSFER_RETRY: Duration = Duration::from_millis(100);
+
+/// Starts answering calls on the current actix thread.
+pub fn spawn(
+    mut incoming: mpsc::Receiver<Incoming>,
+    session: Session,
+    gossip: Gossip,
+    config: ConfigFollower,
+    metrics: SchedulerMetrics,
+) {
+    actix_rt::spawn(async move {
+        while let Some(Incoming {
+            request,
+            mut replies,
+        }) = incoming.recv().await
+        {
+            match request {
+                PeerRequest::Heartbeats(heartbeats) => {
+                    let known = gossip.take_in(heartbeats);
+                    actix_rt::spawn(async move {
+                        if replies.send(&PeerReply::Heartbeats(known)).await.is_ok() {
+                            replies.finish();
+                        }
+                    });
+                }
+                PeerRequest::Work(order) => {
+                    let events = submit(order, &session, &config, &metrics);
+                    actix_rt::spawn(forward(events, replies));
+                }
+            }
+        }
+    });
+}
+
+/// Gives an order to its engine, or refuses it as not run.
+fn submit(
+    order: WorkOrder,
+    session: &Session,
+    config: &ConfigFollower,
+    metrics: &SchedulerMetrics,
+) -> mpsc::Receiver<WorkEvent> {
+    let (events, receiver) = mpsc::channel(EVENT_QUEUE);
+    let known = order
+        .model
+        .parse::<ModelName>()
+        .is_ok_and(|m| config.current().resolve(&m).is_ok());
+    let refusal = if !known {
+        Some(NotRunReason::StaleConfiguration)
+    } else if session.is_leaving() {
+        Some(NotRunReason::Leaving)
+    } else {
+        None
+    };
+    let reason = match (refusal, session.engine(&order.engine)) {
+        (None, Some(engine)) => {
+            engine.do_send(Submit::new(order, events));
+            return receiver;
+        }
+        (Some(reason), _) => reason,
+        (None, None) => NotRunReason::NotOwner,
+    };
+    metrics.refusals.count(&reason.to_string());
+    let refusal = WorkEvent::NotRun(NotRun {
+        reason,
+        retry_after: TRANSFER_RETRY,
+    });
+    // The receiver is at hand and its queue is empty.
+    let _queued = events.try_send(refusal);
+    receiver
+}
+
+/// Sends the events of a request to its gateway until either side ends.
+async fn forward(mut events: mpsc::Receiver<WorkEvent>, mut replies: ReplySender) {
+    loop {
+        let event = tokio::select! {
+            event = events.recv() => event,
+            () = replies.closed() => return,
+        };
+        let Some(event) = event else {
+            replies.finish();
+            return;
+        };
+        if replies.send(&PeerReply::Work(event)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/tarragon_scheduler/src/session.rs
@@ -0,0 +1,386 @@
+//! Keeps the session alive and takes engines.
+
+use crate::{
+    engine::{Drain, EngineActor, Stop},
+    metrics::SchedulerMetrics,
+};
+use actix::{Actor, Addr};
+use rail_config::UpstreamKind;
+use rail_lease::{
+    HolderCommand, OwnershipCommand, OwnershipRecord, ResourceId, SessionHolder, SessionObserver,
+    SessionRecord, plan_ownership,
+};
+use rail_peer::Gossip;
+use rail_platform::{ConfigFollower, Error, ObjectKind, PlatformClient, WatchCache};
+use rail_runtime::MonotonicClock;
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+    time::Duration,
+};
+
+/// Interval between looks at sessions and ownership.
+const TICK: Duration = Duration::from_millis(100);
+/// Age above which the local copies count as out of date.
+const MAX_COPY_AGE: Duration = Duration::from_secs(2);
+
+/// The session of this process; clones share it.
+#[derive(Debug, Clone)]
+pub struct Session {
+    state: Rc<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    clock: MonotonicClock,
+    holder: RefCell<SessionHolder>,
+    observer: RefCell<SessionObserver>,
+    owned: RefCell<BTreeMap<ResourceId, Owned>>,
+    leaving: Cell<bool>,
+    platform: PlatformClient,
+    config: ConfigFollower,
+    sessions: WatchCache,
+    owners: WatchCache,
+    gossip: Gossip,
+    metrics: SchedulerMetrics,
+}
+
+#[derive(Debug)]
+struct Owned {
+    record: OwnershipRecord,
+    version: String,
+    engine: Addr<EngineActor>,
+}
+
+impl Session {
+    /// Starts the session on the current actix thread.
+    pub fn spawn(
+        record: SessionRecord,
+        clock: MonotonicClock,
+        platform: PlatformClient,
+        config: ConfigFollower,
+        gossip: Gossip,
+        metrics: SchedulerMetrics,
+    ) -> Self {
+        let state = State {
+            clock,
+            holder: RefCell::new(SessionHolder::new(record)),
+            observer: RefCell::default(),
+            owned: RefCell::default(),
+            leaving: Cell::new(false),
+            sessions: WatchCache::spawn(platform.clone(), ObjectKind::Session),
+            owners: WatchCache::spawn(platform.clone(), ObjectKind::Owner),
+            platform,
+            config,
+            gossip,
+            metrics,
+        };
+        let session = Self {
+            state: Rc::new(state),
+        };
+        let renewals = session.clone();
+        actix_rt::spawn(async move {
+            loop {
+                renewals.renew().await;
+                actix_rt::time::sleep(TICK).await;
+            }
+        });
+        let transfers = session.clone();
+        actix_rt::spawn(async move {
+            loop {
+                transfers.tick().await;
+                actix_rt::time::sleep(TICK).await;
+            }
+        });
+        session
+    }
+
+    /// Reports whether orders may be given.
+    pub fn is_in_force(&self) -> bool {
+        self.state
+            .holder
+            .borrow()
+            .is_in_force(self.state.clock.now())
+    }
+
+    /// Reports whether the process takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.state.leaving.get()
+    }
+
+    /// Finds an engine that this process owns.
+    pub fn engine(&self, engine: &str) -> Option<Addr<EngineActor>> {
+        if !self.is_in_force() {
+            return None;
+        }
+        self.state
+            .owned
+            .borrow()
+            .get(engine)
+            .map(|owned| owned.engine.clone())
+    }
+
+    /// Finishes all work, gives the engines back and ends the session.
+    pub async fn leave(&self) {
+        self.state.leaving.set(true);
+        self.state.holder.borrow_mut().leave();
+        let engines: Vec<_> = self
+            .state
+            .owned
+            .borrow()
+            .values()
+            .map(|owned| owned.engine.clone())
+            .collect();
+        for engine in engines {
+            // An engine that is gone has nothing to finish.
+            let _drained = engine.send(Drain).await;
+        }
+        let owned = std::mem::take(&mut *self.state.owned.borrow_mut());
+        for (resource, owned) in owned {
+            let mut record = owned.record;
+            record.released = true;
+            let name = owner_name(&resource);
+            let value = to_json(&record);
+            let update =
+                self.state
+                    .platform
+                    .update(ObjectKind::Owner, &name, &value, &owned.version);
+            if let Err(error) = update.await {
+                log::warn!("{resource} could not be released: {error}");
+            }
+        }
+    }
+
+    async fn renew(&self) {
+        let now = self.state.clock.now();
+        let command = self.state.holder.borrow_mut().poll(now);
+        let Some(command) = command else {
+            return;
+        };
+        let (record, result) = match command {
+            HolderCommand::Create(record) => {
+                let name = session_name(record.session_id);
+                let value = to_json(&record);
+                let result = self
+                    .state
+                    .platform
+                    .create(ObjectKind::Session, &name, &value)
+                    .await;
+                (record, result)
+            }
+            HolderCommand::Renew {
+                record,
+                expected_version,
+            } => {
+                let name = session_name(record.session_id);
+                let value = to_json(&record);
+                let update = self.state.platform.update(
+                    ObjectKind::Session,
+                    &name,
+                    &value,
+                    &expected_version,
+                );
+                (record, update.await)
+            }
+        };
+        let mut holder = self.state.holder.borrow_mut();
+        match result {
+            Ok(object) => holder.acknowledge(record, object.version),
+            Err(Error::Conflict | Error::NotFound | Error::AlreadyExists) => {
+                drop(holder);
+                self.settle().await;
+            }
+            Err(error) => {
+                holder.fail();
+                self.state.metrics.session_events.count(error.reason());
+            }
+        }
+    }
+
+    /// Reads the session back after a conflict: an own write with a lost reply, or a revocation.
+    async fn settle(&self) {
+        let name = session_name(self.state.holder.borrow().record().session_id);
+        let read = self.state.platform.get(&name).await;
+        let mut holder = self.state.holder.borrow_mut();
+        match read {
+            Ok(object) => match serde_json::from_str::<SessionRecord>(&object.value) {
+                Ok(record) if !record.revoked => holder.acknowledge(record, object.version),
+                _ => holder.end(),
+            },
+            Err(Error::NotFound) => holder.end(),
+            Err(_) => holder.fail(),
+        }
+        if holder.is_ended() {
+            self.state.metrics.session_events.count("revoked");
+            log::error!("session was revoked; the process ends");
+            std::process::exit(1);
+        }
+    }
+
+    async fn tick(&self) {
+        let now = self.state.clock.now();
+        let is_current = |cache: &WatchCache| cache.age().is_some_and(|age| age < MAX_COPY_AGE);
+        if !is_current(&self.state.sessions) || !is_current(&self.state.owners) {
+            self.state.observer.borrow_mut().restart_waits(now);
+            return;
+        }
+        self.observe_sessions(now);
+        self.revoke_expired(now).await;
+        if self.is_in_force() && !self.is_leaving() {
+            self.take_resources().await;
+        }
+        self.follow_owners();
+    }
+
+    fn observe_sessions(&self, now: Duration) {
+        let mut observer = self.state.observer.borrow_mut();
+        let objects = self.state.sessions.objects();
+        let mut known = Vec::new();
+        for object in objects {
+            if let Ok(record) = serde_json::from_str::<SessionRecord>(&object.value) {
+                known.push(record.session_id);
+                observer.observe(record, object.version, now);
+            }
+        }
+        observer.retain(|id| known.contains(&id));
+        let peers = observer.live().map(|s| s.address).collect();
+        self.state.gossip.set_peers(peers);
+    }
+
+    async fn revoke_expired(&self, now: Duration) {
+        let me = self.state.holder.borrow().record().session_id;
+        let expired = self.state.observer.borrow().expired(now);
+        for (mut record, version) in expired {
+            if record.session_id == me {
+                continue;
+            }
+            record.revoked = true;
+            let name = session_name(record.session_id);
+            let value = to_json(&record);
+            let update = self
+                .state
+                .platform
+                .update(ObjectKind::Session, &name, &value, &version);
+            if let Ok(object) = update.await {
+                log::info!("session of {} revoked", record.host);
+                self.state.metrics.session_events.count("revoked_other");
+                self.state
+                    .observer
+                    .borrow_mut()
+                    .observe(record, object.version, now);
+            }
+        }
+    }
+
+    async fn take_resources(&self) {
+        let me = self.state.holder.borrow().record().clone();
+        let live: Vec<_> = self.state.observer.borrow().live().cloned().collect();
+        let fleet = self.state.config.current();
+        let engines = fleet
+            .upstreams
+            .iter()
+            .filter(|(_, u)| u.kind == UpstreamKind::Engine);
+        let resources = engines
+            .map(|(name, u)| (name.clone(), u.zone.clone()))
+            .collect();
+        let owners = self.stored_owners();
+        for command in plan_ownership(&me, &live, &resources, &owners) {
+            let platform = &self.state.platform;
+            // The watch brings the result, also of a reply that was lost.
+            let result = match command {
+                OwnershipCommand::Create(record) => {
+                    let name = owner_name(&record.resource);
+                    platform
+                        .create(ObjectKind::Owner, &name, &to_json(&record))
+                        .await
+                }
+                OwnershipCommand::Take {
+                    record,
+                    expected_version,
+                } => {
+                    let name = owner_name(&record.resource);
+                    let value = to_json(&record);
+                    platform
+                        .update(ObjectKind::Owner, &name, &value, &expected_version)
+                        .await
+                }
+            };
+            if let Err(error) = result {
+                self.state.metrics.session_events.count(error.reason());
+            }
+        }
+    }
+
+    fn stored_owners(&self) -> BTreeMap<ResourceId, (OwnershipRecord, String)> {
+        let objects = self.state.owners.objects().into_iter();
+        objects
+            .filter_map(|object| {
+                let record: OwnershipRecord = serde_json::from_str(&object.value).ok()?;
+                Some((record.resource.clone(), (record, object.version)))
+            })
+            .collect()
+    }
+
+    /// Starts engines that were taken and drops those that were lost.
+    fn follow_owners(&self) {
+        let me = self.state.holder.borrow().record().session_id;
+        let stored = self.stored_owners();
+        let fleet = self.state.config.current();
+        let mut owned = self.state.owned.borrow_mut();
+        owned.retain(|resource, entry| {
+            let is_mine = stored.get(resource).is_some_and(|(record, _)| {
+                record.session_id == me && record.fence == entry.record.fence && !record.released
+            });
+            if !is_mine {
+                entry.engine.do_send(Stop);
+            }
+            is_mine
+        });
+        for (resource, (record, version)) in stored {
+            if record.session_id != me || record.released || self.is_leaving() {
+                continue;
+            }
+            if let Some(upstream) = fleet.upstreams.get(&resource) {
+                owned.entry(resource).or_insert_with(|| Owned {
+                    engine: EngineActor::new(
+                        upstream,
+                        record.fence,
+                        self.clone(),
+                        self.state.config.clone(),
+                        self.state.clock,
+                        self.state.metrics.clone(),
+                    )
+                    .start(),
+                    record,
+                    version,
+                });
+            }
+        }
+        self.state.metrics.owned_engines.set(owned.len() as i64);
+        let names: Vec<String> = owned.keys().cloned().collect();
+        let generation = fleet.generation;
+        self.state.gossip.update_own(|own| {
+            own.owned = names;
+            own.generation = generation;
+        });
+    }
+
+    /// Counts sessions that share the weight store's budget.
+    pub fn live_sessions(&self) -> usize {
+        self.state.observer.borrow().live().count().max(1)
+    }
+}
+
+fn session_name(session_id: u64) -> String {
+    format!("session-{session_id:016x}")
+}
+
+fn owner_name(resource: &str) -> String {
+    format!("owner-{resource}")
+}
+
+/// Writes a record; records hold only strings and numbers, which JSON always takes.
+fn to_json(record: &impl serde::Serialize) -> String {
+    serde_json::to_string(record).expect("records are plain data")
+}
--- /dev/null
+++ b/crates/tarragon_standin/src/platform.rs
@@ -0,0 +1,384 @@
+//! Platform object API: versions, conditional updates, watches, limits and faults.
+
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use bytes::Bytes;
+use futures_util::{StreamExt, stream};
+use gumdrop::Options;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+use tokio::sync::broadcast;
+
+/// Interval between bookmarks of an idle watch.
+const BOOKMARK_INTERVAL: Duration = Duration::from_millis(500);
+/// Events that a slow watcher may lag behind before it is cut off.
+const WATCH_BACKLOG: usize = 4096;
+/// How long a lost reply hangs.
+const LOST_REPLY_HANG: Duration = Duration::from_secs(5);
+
+#[derive(Debug, Options)]
+pub struct Flags {
+    /// print this help
+    help: bool,
+    /// address to listen on
+    #[options(default_expr = "crate::default_listen()")]
+    listen: SocketAddr,
+    /// reads a second
+    #[options(no_short, default = "2000")]
+    reads_per_s: u32,
+    /// writes a second
+    #[options(no_short, default = "300")]
+    writes_per_s: u32,
+}
+
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Faults {
+    /// Answer every call with 503, and end watches.
+    down: bool,
+    /// Answer calls of these source addresses with 503, and end their watches.
+    cut_from: Vec<String>,
+    /// Delay of every reply in milliseconds.
+    delay_ms: u64,
+    /// Number of writes that take effect but whose reply is lost.
+    lose_write_replies: u32,
+    /// Delay before writes take effect, in milliseconds.
+    write_delay_ms: u64,
+}
+
+#[derive(Debug, Default, Clone, Serialize)]
+struct Stats {
+    reads: u64,
+    writes: u64,
+    watches: u64,
+    throttled: u64,
+    conflicts: u64,
+}
+
+#[derive(Debug)]
+struct Window {
+    started: Instant,
+    count: u32,
+    limit: u32,
+}
+
+impl Window {
+    fn new(limit: u32) -> Self {
+        Self {
+            started: Instant::now(),
+            count: 0,
+            limit,
+        }
+    }
+
+    fn admit(&mut self) -> bool {
+        if self.started.elapsed() >= Duration::from_secs(1) {
+            self.started = Instant::now();
+            self.count = 0;
+        }
+        self.count += 1;
+        self.count <= self.limit
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    objects: BTreeMap<String, Value>,
+    version: u64,
+    faults: Faults,
+    stats: Stats,
+    reads: Window,
+    writes: Window,
+}
+
+struct Platform {
+    inner: Mutex<Inner>,
+    events: broadcast::Sender<(&'static str, Value)>,
+}
+
+type Data = web::Data<Platform>;
+
+impl Platform {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn is_cut(&self, source: Option<&str>) -> bool {
+        let inner = self.lock();
+        inner.faults.down
+            || source.is_some_and(|s| inner.faults.cut_from.iter().any(|cut| cut == s))
+    }
+
+    /// Applies faults and limits; gives the refusal, if any.
+    async fn admit(&self, request: &HttpRequest, is_write: bool) -> Option<HttpResponse> {
+        let source = request.peer_addr().map(|a| a.ip().to_string());
+        if self.is_cut(source.as_deref()) {
+            return Some(HttpResponse::ServiceUnavailable().finish());
+        }
+        let (admitted, delay_ms) = {
+            let mut inner = self.lock();
+            let admitted = if is_write {
+                inner.stats.writes += 1;
+                inner.writes.admit()
+            } else {
+                inner.stats.reads += 1;
+                inner.reads.admit()
+            };
+            if !admitted {
+                inner.stats.throttled += 1;
+            }
+            let write_delay_ms = if is_write {
+                inner.faults.write_delay_ms
+            } else {
+                0
+            };
+            (admitted, inner.faults.delay_ms + write_delay_ms)
+        };
+        if delay_ms > 0 {
+            actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        (!admitted).then(|| HttpResponse::TooManyRequests().finish())
+    }
+
+    /// Replies to a write, or loses the reply when that fault is on.
+    async fn reply(&self, body: Value) -> HttpResponse {
+        let lose = {
+            let mut inner = self.lock();
+            let lose = inner.faults.lose_write_replies > 0;
+            inner.faults.lose_write_replies = inner.faults.lose_write_replies.saturating_sub(1);
+            lose
+        };
+        if lose {
+            actix_rt::time::sleep(LOST_REPLY_HANG).await;
+        }
+        HttpResponse::Ok().json(body)
+    }
+
+    fn emit(&self, event: &'static str, object: &Value) {
+        // Without a watcher there is nobody to tell.
+        let _watchers = self.events.send((event, object.clone()));
+    }
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ListQuery {
+    label_selector: Option<String>,
+    #[serde(default)]
+    watch: bool,
+}
+
+fn matches(object: &Value, selector: Option<&str>) -> bool {
+    let Some((key, value)) = selector.and_then(|s| s.split_once('=')) else {
+        return true;
+    };
+    object["metadata"]["labels"][key] == value
+}
+
+async fn list(request: HttpRequest, query: web::Query<ListQuery>, data: Data) -> HttpResponse {
+    if let Some(refusal) = data.admit(&request, false).await {
+        return refusal;
+    }
+    if query.watch {
+        return watch(&request, query.into_inner(), data);
+    }
+    let inner = data.lock();
+    let selector = query.label_selector.as_deref();
+    let items: Vec<&Value> = inner
+        .objects
+        .values()
+        .filter(|o| matches(o, selector))
+        .collect();
+    HttpResponse::Ok()
+        .json(json!({"metadata": {"resourceVersion": inner.version.to_string()}, "items": items}))
+}
+
+fn watch(request: &HttpRequest, query: ListQuery, data: Data) -> HttpResponse {
+    let since: u64 = web::Query::<BTreeMap<String, String>>::from_query(request.query_string())
+        .ok()
+        .and_then(|q| q.get("resourceVersion")?.parse().ok())
+        .unwrap_or(0);
+    let source = request.peer_addr().map(|a| a.ip().to_string());
+    let receiver = data.events.subscribe();
+    let missed: Vec<Value> = {
+        let mut inner = data.lock();
+        inner.stats.watches += 1;
+        let newer = |o: &&Value| version_of(o) > since;
+        let selector = query.label_selector.as_deref();
+        inner
+            .objects
+            .values()
+            .filter(newer)
+            .filter(|o| matches(o, selector))
+            .cloned()
+            .collect()
+    };
+    let first = stream::iter(missed.into_iter().map(|o| line("MODIFIED", &o)));
+    let state = (receiver, data, query, source);
+    let rest = stream::unfold(state, |(mut receiver, data, query, source)| async move {
+        loop {
+            let next = tokio::time::timeout(BOOKMARK_INTERVAL, receiver.recv()).await;
+            if data.is_cut(source.as_deref()) {
+                return None;
+            }
+            let text = match next {
+                Err(_elapsed) => line("BOOKMARK", &json!({"metadata": {}})),
+                Ok(Ok((event, object))) => {
+                    if !matches(&object, query.label_selector.as_deref()) {
+                        continue;
+                    }
+                    line(event, &object)
+                }
+                Ok(Err(_lagged)) => return None,
+            };
+            return Some((text, (receiver, data, query, source)));
+        }
+    });
+    HttpResponse::Ok()
+        .content_type("application/json")
+        .streaming(first.chain(rest))
+}
+
+fn line(event: &str, object: &Value) -> Result<Bytes, std::io::Error> {
+    Ok(Bytes::from(format!(
+        "{}\n",
+        json!({"type": event, "object": object})
+    )))
+}
+
+fn version_of(object: &Value) -> u64 {
+    object["metadata"]["resourceVersion"]
+        .as_str()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(0)
+}
+
+async fn get(request: HttpRequest, name: web::Path<(String, String)>, data: Data) -> HttpResponse {
+    if let Some(refusal) = data.admit(&request, false).await {
+        return refusal;
+    }
+    match data.lock().objects.get(&name.1) {
+        Some(object) => HttpResponse::Ok().json(object),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn create(request: HttpRequest, body: web::Json<Value>, data: Data) -> HttpResponse {
+    if let Some(refusal) = data.admit(&request, true).await {
+        return refusal;
+    }
+    let mut object = body.into_inner();
+    let Some(name) = object["metadata"]["name"].as_str().map(str::to_owned) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    {
+        let mut inner = data.lock();
+        if inner.objects.contains_key(&name) {
+            inner.stats.conflicts += 1;
+            return HttpResponse::Conflict().finish();
+        }
+        inner.version += 1;
+        object["metadata"]["resourceVersion"] = inner.version.to_string().into();
+        inner.objects.insert(name, object.clone());
+        data.emit("ADDED", &object);
+    }
+    data.reply(object).await
+}
+
+async fn update(
+    request: HttpRequest,
+    name: web::Path<(String, String)>,
+    body: web::Json<Value>,
+    data: Data,
+) -> HttpResponse {
+    if let Some(refusal) = data.admit(&request, true).await {
+        return refusal;
+    }
+    let mut object = body.into_inner();
+    {
+        let mut inner = data.lock();
+        let Some(current) = inner.objects.get(&name.1) else {
+            return HttpResponse::NotFound().finish();
+        };
+        if version_of(current) != version_of(&object) {
+            inner.stats.conflicts += 1;
+            return HttpResponse::Conflict().finish();
+        }
+        inner.version += 1;
+        object["metadata"]["resourceVersion"] = inner.version.to_string().into();
+        inner.objects.insert(name.1.clone(), object.clone());
+        data.emit("MODIFIED", &object);
+    }
+    data.reply(object).await
+}
+
+async fn delete(
+    request: HttpRequest,
+    name: web::Path<(String, String)>,
+    data: Data,
+) -> HttpResponse {
+    if let Some(refusal) = data.admit(&request, true).await {
+        return refusal;
+    }
+    let removed = data.lock().objects.remove(&name.1);
+    match removed {
+        Some(object) => {
+            data.emit("DELETED", &object);
+            data.reply(json!({"status": "Success"})).await
+        }
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn set_faults(body: web::Json<Faults>, data: Data) -> HttpResponse {
+    data.lock().faults = body.into_inner();
+    HttpResponse::Ok().finish()
+}
+
+async fn stats(data: Data) -> HttpResponse {
+    HttpResponse::Ok().json(&data.lock().stats)
+}
+
+/// Serves until the process is stopped.
+pub async fn run(flags: Flags) -> std::io::Result<()> {
+    let data = web::Data::new(Platform {
+        inner: Mutex::new(Inner {
+            objects: BTreeMap::new(),
+            version: 0,
+            faults: Faults::default(),
+            stats: Stats::default(),
+            reads: Window::new(flags.reads_per_s),
+            writes: Window::new(flags.writes_per_s),
+        }),
+        events: broadcast::Sender::new(WATCH_BACKLOG),
+    });
+    let maps = "/api/v1/namespaces/{namespace}/configmaps";
+    HttpServer::new(move || {
+        App::new()
+            .app_data(data.clone())
+            .app_data(web::JsonConfig::default().limit(2 << 20))
+            .route("/_faults", web::post().to(set_faults))
+            .route("/_stats", web::get().to(stats))
+            .service(
+                web::resource(maps)
+                    .route(web::get().to(list))
+                    .route(web::post().to(create)),
+            )
+            .service(
+                web::resource(format!("{maps}/{{name}}"))
+                    .route(web::get().to(get))
+                    .route(web::put().to(update))
+                    .route(web::delete().to(delete)),
+            )
+    })
+    .workers(1)
+    .shutdown_timeout(0)
+    .bind(flags.listen)?
+    .run()
+    .await
+}
--- /dev/null
+++ b/crates/tarragonctl/src/main.rs
@@ -0,0 +1,48 @@
+//! Operator command line.
+//!
+//! Calls the operator RPC of any entry host over mutual TLS; `keys` makes the
+//! keys of a fleet without a server.
+
+mod error;
+mod flags;
+mod keys;
+mod rpc;
+
+use error::Error;
+use flags::Flags;
+use gumdrop::Options;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() {
+    let flags = Flags::parse_args_default_or_exit();
+    if let Err(error) = run(flags).await {
+        eprintln!("tarragonctl: {error}");
+        std::process::exit(error.exit_code());
+    }
+}
+
+async fn run(flags: Flags) -> Result<(), Error> {
+    if flags.version {
+        println!("{}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    let Flags {
+        admin,
+        ca,
+        cert,
+        key,
+        command,
+        ..
+    } = flags;
+    let connection = flags::Connection {
+        admin,
+        ca,
+        cert,
+        key,
+    };
+    match command {
+        Some(flags::Command::Keys(command)) => keys::make_keys(&command),
+        Some(command) => rpc::call(connection, command).await,
+        None => Err(Error::Usage),
+    }
+}
