--- a/crates/rail_api/src/lib.rs
+++ b/crates/rail_api/src/lib.rs
@@ -6,11 +6,9 @@
 //! [`operator::operator_client::OperatorClient`].
 
 /// Messages, client and server of the operator interface.
+#[expect(missing_docs, reason = "generated from the schema, which carries the documentation")]
 #[expect(
-    missing_docs,
-    reason = "generated from the schema, which carries the documentation"
-)]
-#[expect(
+    clippy::pedantic,
     clippy::allow_attributes_without_reason,
     clippy::clone_on_ref_ptr,
     clippy::empty_structs_with_brackets,
--- a/crates/rail_codegen/src/main.rs
+++ b/crates/rail_codegen/src/main.rs
@@ -23,8 +23,6 @@
     let include = schema.parent().ok_or(Error::Usage)?;
     let descriptors = protox::compile([schema], [include])?;
     std::fs::create_dir_all(out_dir)?;
-    tonic_prost_build::configure()
-        .out_dir(out_dir)
-        .compile_fds(descriptors)?;
+    tonic_prost_build::configure().out_dir(out_dir).compile_fds(descriptors)?;
     Ok(())
 }
--- a/crates/rail_config/src/change.rs
+++ b/crates/rail_config/src/change.rs
@@ -90,33 +90,16 @@
     /// Refuses names that are not valid or not registered.
     pub fn apply_to(&self, fleet: &mut Fleet) -> Result<()> {
         match self {
-            Self::RegisterBase {
-                base,
-                urgency_default,
-            } => {
+            Self::RegisterBase { base, urgency_default } => {
                 check_name(base)?;
-                fleet.bases.insert(
-                    base.clone(),
-                    Base {
-                        urgency_default: *urgency_default,
-                    },
-                );
+                fleet.bases.insert(base.clone(), Base { urgency_default: *urgency_default });
             }
             Self::RegisterAdapter { base, adapter } => {
                 check_name(adapter)?;
                 require_base(fleet, base)?;
-                fleet
-                    .adapters
-                    .entry(base.clone())
-                    .or_default()
-                    .entry(adapter.clone())
-                    .or_default();
+                fleet.adapters.entry(base.clone()).or_default().entry(adapter.clone()).or_default();
             }
-            Self::RegisterVersion {
-                base,
-                adapter,
-                version,
-            } => {
+            Self::RegisterVersion { base, adapter, version } => {
                 check_name(version)?;
                 require_base(fleet, base)?;
                 fleet
@@ -141,15 +124,12 @@
             }
             Self::SetUrgencyDefault { base, urgency } => {
                 let entry = fleet.bases.get_mut(base);
-                entry
-                    .ok_or_else(|| ChangeError::UnknownBase(base.clone()))?
-                    .urgency_default = *urgency;
+                entry.ok_or_else(|| ChangeError::UnknownBase(base.clone()))?.urgency_default =
+                    *urgency;
             }
             Self::DrainUpstream { name, leaving } => {
                 let entry = fleet.upstreams.get_mut(name);
-                entry
-                    .ok_or_else(|| ChangeError::UnknownUpstream(name.clone()))?
-                    .leaving = *leaving;
+                entry.ok_or_else(|| ChangeError::UnknownUpstream(name.clone()))?.leaving = *leaving;
             }
         }
         Ok(())
@@ -157,10 +137,7 @@
 }
 
 fn check_name(name: &str) -> Result<()> {
-    check_part(name).map_err(|source| ChangeError::Name {
-        name: name.to_owned(),
-        source,
-    })
+    check_part(name).map_err(|source| ChangeError::Name { name: name.to_owned(), source })
 }
 
 fn require_base(fleet: &Fleet, base: &str) -> Result<()> {
--- a/crates/rail_config/src/fleet.rs
+++ b/crates/rail_config/src/fleet.rs
@@ -84,11 +84,7 @@
 
 impl Default for StoreBudget {
     fn default() -> Self {
-        Self {
-            loads_per_s: 2,
-            at_once: 2,
-            in_flight: 16,
-        }
+        Self { loads_per_s: 2, at_once: 2, in_flight: 16 }
     }
 }
 
@@ -127,10 +123,7 @@
     /// # Errors
     /// Names the first part that is not registered.
     pub fn resolve(&self, name: &ModelName) -> Result<&Base, ResolveError> {
-        let base = self
-            .bases
-            .get(&name.base)
-            .ok_or(ResolveError::UnknownBase)?;
+        let base = self.bases.get(&name.base).ok_or(ResolveError::UnknownBase)?;
         let adapter = self
             .adapters
             .get(&name.base)
@@ -177,8 +170,6 @@
         kind: UpstreamKind,
         group: &'a str,
     ) -> impl Iterator<Item = (&'a UpstreamId, &'a Upstream)> {
-        self.upstreams
-            .iter()
-            .filter(move |(_, u)| u.kind == kind && u.group == group && !u.leaving)
+        self.upstreams.iter().filter(move |(_, u)| u.kind == kind && u.group == group && !u.leaving)
     }
 }
--- a/crates/rail_config/src/model_name.rs
+++ b/crates/rail_config/src/model_name.rs
@@ -44,11 +44,7 @@
 pub fn check_part(part: &str) -> Result<()> {
     let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
     let valid = !part.is_empty() && part.len() <= MAX_PART_BYTES && part.chars().all(allowed);
-    if valid {
-        Ok(())
-    } else {
-        Err(ModelNameError::Part)
-    }
+    if valid { Ok(()) } else { Err(ModelNameError::Part) }
 }
 
 impl FromStr for ModelName {
@@ -60,11 +56,7 @@
         for part in [base, adapter, version] {
             check_part(part)?;
         }
-        Ok(Self {
-            base: base.into(),
-            adapter: adapter.into(),
-            version: version.into(),
-        })
+        Ok(Self { base: base.into(), adapter: adapter.into(), version: version.into() })
     }
 }
 
--- a/crates/rail_config/src/segment.rs
+++ b/crates/rail_config/src/segment.rs
@@ -73,23 +73,14 @@
         for (base, adapters) in &self.adapters {
             for (adapter, entry) in adapters {
                 let part = parts.entry(segment_of(base, adapter)).or_default();
-                part.entry(base.clone())
-                    .or_default()
-                    .insert(adapter.clone(), entry.clone());
+                part.entry(base.clone()).or_default().insert(adapter.clone(), entry.clone());
             }
         }
         for part in parts.into_values() {
             stored.push(store(&Segment::Adapters(part))?);
         }
         let segments = stored.iter().map(|s| s.name.clone()).collect();
-        Ok((
-            Head {
-                generation: self.generation,
-                segments,
-                nonce,
-            },
-            stored,
-        ))
+        Ok((Head { generation: self.generation, segments, nonce }, stored))
     }
 
     /// Joins the segments of a head.
@@ -100,17 +91,10 @@
         generation: Generation,
         texts: impl IntoIterator<Item = &'a str>,
     ) -> Result<Self> {
-        let mut fleet = Self {
-            generation,
-            ..Self::default()
-        };
+        let mut fleet = Self { generation, ..Self::default() };
         for text in texts {
             match serde_json::from_str(text)? {
-                Segment::Core {
-                    bases,
-                    upstreams,
-                    store_budget,
-                } => {
+                Segment::Core { bases, upstreams, store_budget } => {
                     fleet.store_budget = store_budget;
                     fleet.bases = bases;
                     fleet.upstreams = upstreams;
@@ -132,8 +116,5 @@
 
 fn store(segment: &Segment) -> Result<StoredSegment> {
     let text = serde_json::to_string(segment)?;
-    Ok(StoredSegment {
-        name: format!("segment-{:032x}", xxh3_128(text.as_bytes())),
-        text,
-    })
+    Ok(StoredSegment { name: format!("segment-{:032x}", xxh3_128(text.as_bytes())), text })
 }
--- a/crates/rail_lease/src/holder.rs
+++ b/crates/rail_lease/src/holder.rs
@@ -33,13 +33,7 @@
 impl SessionHolder {
     /// Starts a session that is not in force before its record is created.
     pub fn new(record: SessionRecord) -> Self {
-        Self {
-            record,
-            version: None,
-            sent_at: None,
-            pending_sent_at: None,
-            ended: false,
-        }
+        Self { record, version: None, sent_at: None, pending_sent_at: None, ended: false }
     }
 
     /// Gives the next call to make, if one is due.
@@ -57,10 +51,7 @@
             return Some(HolderCommand::Create(record));
         };
         record.renewals += 1;
-        Some(HolderCommand::Renew {
-            record,
-            expected_version,
-        })
+        Some(HolderCommand::Renew { record, expected_version })
     }
 
     /// Records that the call was carried out.
--- a/crates/rail_lease/src/observer.rs
+++ b/crates/rail_lease/src/observer.rs
@@ -21,22 +21,9 @@
     pub fn observe(&mut self, record: SessionRecord, version: String, now: Duration) {
         match self.seen.get_mut(&record.session_id) {
             Some(seen) if seen.version == version => {}
-            Some(seen) => {
-                *seen = Seen {
-                    record,
-                    version,
-                    since: now,
-                }
-            }
+            Some(seen) => *seen = Seen { record, version, since: now },
             None => {
-                self.seen.insert(
-                    record.session_id,
-                    Seen {
-                        record,
-                        version,
-                        since: now,
-                    },
-                );
+                self.seen.insert(record.session_id, Seen { record, version, since: now });
             }
         }
     }
@@ -59,16 +46,11 @@
             !seen.record.revoked && now >= seen.since + Duration::from_millis(seen.record.ttl_ms)
         };
         let expired = self.seen.values().filter(is_expired);
-        expired
-            .map(|seen| (seen.record.clone(), seen.version.clone()))
-            .collect()
+        expired.map(|seen| (seen.record.clone(), seen.version.clone())).collect()
     }
 
     /// Lists sessions that are not revoked.
     pub fn live(&self) -> impl Iterator<Item = &SessionRecord> {
-        self.seen
-            .values()
-            .map(|seen| &seen.record)
-            .filter(|record| !record.revoked)
+        self.seen.values().map(|seen| &seen.record).filter(|record| !record.revoked)
     }
 }
--- a/crates/rail_peer/src/client.rs
+++ b/crates/rail_peer/src/client.rs
@@ -54,10 +54,7 @@
         config.transport_config(Arc::new(transport()));
         let mut endpoint = Endpoint::client(SocketAddr::new(ip, 0)).map_err(Error::Bind)?;
         endpoint.set_default_client_config(config);
-        Ok(Self {
-            endpoint,
-            links: Arc::default(),
-        })
+        Ok(Self { endpoint, links: Arc::default() })
     }
 
     /// Sends a request over the link to this peer.
@@ -75,9 +72,7 @@
         frame::write(&mut writer, request).await?;
         // The stream may be stopped already; then reading tells.
         let _stopped = writer.get_mut().finish();
-        Ok(ReplyStream {
-            reader: frame::reader(receive),
-        })
+        Ok(ReplyStream { reader: frame::reader(receive) })
     }
 
     async fn link(&self, peer: SocketAddr) -> Result<Connection> {
@@ -86,10 +81,8 @@
         {
             return Ok(link.clone());
         }
-        let connecting = self
-            .endpoint
-            .connect(peer, FLEET_SERVER_NAME)
-            .map_err(|_error| Error::Connect)?;
+        let connecting =
+            self.endpoint.connect(peer, FLEET_SERVER_NAME).map_err(|_error| Error::Connect)?;
         let link = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .map_err(|_elapsed| Error::Connect)?
--- a/crates/rail_peer/src/frame.rs
+++ b/crates/rail_peer/src/frame.rs
@@ -22,24 +22,19 @@
 
 pub(crate) async fn write<T: Serialize>(writer: &mut Writer, message: &T) -> Result<()> {
     let bytes = postcard::to_allocvec(message).map_err(|_error| Error::Unreadable)?;
-    writer
-        .send(Bytes::from(bytes))
-        .await
-        .map_err(|_error| Error::Lost)
+    writer.send(Bytes::from(bytes)).await.map_err(|_error| Error::Lost)
 }
 
 pub(crate) async fn read<T: DeserializeOwned>(reader: &mut Reader) -> Result<Option<T>> {
     match reader.next().await {
         None => Ok(None),
         Some(Err(_)) => Err(Error::Lost),
-        Some(Ok(bytes)) => postcard::from_bytes(&bytes)
-            .map(Some)
-            .map_err(|_error| Error::Unreadable),
+        Some(Ok(bytes)) => {
+            postcard::from_bytes(&bytes).map(Some).map_err(|_error| Error::Unreadable)
+        }
     }
 }
 
 fn codec() -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_FRAME_BYTES)
-        .new_codec()
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec()
 }
--- a/crates/rail_peer/src/gossip.rs
+++ b/crates/rail_peer/src/gossip.rs
@@ -63,10 +63,8 @@
         for heartbeat in heartbeats {
             members.observe(heartbeat, now);
         }
-        let mut known: Vec<Heartbeat> = members
-            .fresh(now, MAX_RELAYED_AGE)
-            .map(|m| m.heartbeat.clone())
-            .collect();
+        let mut known: Vec<Heartbeat> =
+            members.fresh(now, MAX_RELAYED_AGE).map(|m| m.heartbeat.clone()).collect();
         known.push(self.next_own());
         known
     }
--- a/crates/rail_peer/src/server.rs
+++ b/crates/rail_peer/src/server.rs
@@ -113,9 +113,7 @@
             let mut reader = frame::reader(receive);
             let read = frame::read::<PeerRequest>(&mut reader);
             if let Ok(Ok(Some(request))) = tokio::time::timeout(REQUEST_TIMEOUT, read).await {
-                let replies = ReplySender {
-                    writer: frame::writer(send),
-                };
+                let replies = ReplySender { writer: frame::writer(send) };
                 // A closed channel means that the process is ending.
                 let _ended = sender.send(Incoming { request, replies }).await;
             }
--- a/crates/rail_place/src/budget.rs
+++ b/crates/rail_place/src/budget.rs
@@ -14,12 +14,7 @@
 impl LoadBudget {
     /// Starts an empty bucket, so that a new owner never adds to what its predecessor granted.
     pub fn new(rate_per_s: f64, burst: f64, now: Duration) -> Self {
-        Self {
-            rate_per_s,
-            burst,
-            tokens: 0.0,
-            updated_at: now,
-        }
+        Self { rate_per_s, burst, tokens: 0.0, updated_at: now }
     }
 
     /// Changes rate and burst; permits saved so far are kept up to the burst.
@@ -40,8 +35,6 @@
             self.tokens -= 1.0;
             return Ok(());
         }
-        Err(Duration::from_secs_f64(
-            (1.0 - self.tokens) / self.rate_per_s,
-        ))
+        Err(Duration::from_secs_f64((1.0 - self.tokens) / self.rate_per_s))
     }
 }
--- a/crates/rail_place/src/residency.rs
+++ b/crates/rail_place/src/residency.rs
@@ -44,10 +44,7 @@
 impl Residency {
     /// Starts with no adapter loaded.
     pub fn new(slots: usize) -> Self {
-        Self {
-            slots,
-            entries: BTreeMap::new(),
-        }
+        Self { slots, entries: BTreeMap::new() }
     }
 
     /// Tells what must happen before this adapter can serve.
@@ -63,11 +60,7 @@
 
     /// Reserves a slot for a load.
     pub fn start_load(&mut self, adapter: &str, now: Duration) {
-        let slot = Slot {
-            state: SlotState::Loading,
-            in_use: 0,
-            used_at: now,
-        };
+        let slot = Slot { state: SlotState::Loading, in_use: 0, used_at: now };
         self.entries.insert(adapter.to_owned(), slot);
     }
 
@@ -120,11 +113,7 @@
 
     /// Takes in an adapter that a previous owner loaded, in use until [`Residency::release`].
     pub fn adopt(&mut self, adapter: &str, now: Duration) {
-        let slot = Slot {
-            state: SlotState::Resident,
-            in_use: 1,
-            used_at: now,
-        };
+        let slot = Slot { state: SlotState::Resident, in_use: 1, used_at: now };
         self.entries.entry(adapter.to_owned()).or_insert(slot);
     }
 
--- a/crates/rail_platform/src/client.rs
+++ b/crates/rail_platform/src/client.rs
@@ -35,7 +35,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("PlatformClient")
             .field("objects_url", &self.objects_url)
-            .finish()
+            .finish_non_exhaustive()
     }
 }
 
@@ -43,20 +43,11 @@
     /// Opens a client of the platform that dials from `local_ip`.
     pub fn open(platform: SocketAddr, local_ip: IpAddr) -> Self {
         let http = Client::builder()
-            .connector(
-                Connector::new()
-                    .limit(0)
-                    .local_address(local_ip)
-                    .timeout(CALL_TIMEOUT),
-            )
+            .connector(Connector::new().limit(0).local_address(local_ip).timeout(CALL_TIMEOUT))
             .timeout(CALL_TIMEOUT)
             .finish();
         let objects_url = format!("http://{platform}/api/v1/namespaces/{NAMESPACE}/configmaps");
-        Self {
-            http,
-            objects_url,
-            calls: Rc::new(Cell::new(0)),
-        }
+        Self { http, objects_url, calls: Rc::new(Cell::new(0)) }
     }
 
     /// Counts the calls made so far, watches included.
@@ -80,9 +71,7 @@
     /// [`Error::AlreadyExists`] when the name is taken, or a failure of the call.
     pub async fn create(&self, kind: ObjectKind, name: &str, value: &str) -> Result<Object> {
         let body = ConfigMap::new(kind, name, "", value);
-        let reply = self
-            .send(Method::POST, &self.objects_url, Some(&body))
-            .await;
+        let reply = self.send(Method::POST, &self.objects_url, Some(&body)).await;
         match reply {
             Err(Error::Conflict) => Err(Error::AlreadyExists),
             Err(error) => Err(error),
--- a/crates/rail_platform/src/config.rs
+++ b/crates/rail_platform/src/config.rs
@@ -25,18 +25,15 @@
 #[derive(Debug, Default)]
 struct State {
     current: Rc<Fleet>,
-    segments: BTreeMap<String, String>,
+    segments: BTreeMap<String, Rc<str>>,
+    confirmed: bool,
 }
 
 impl ConfigFollower {
     /// Starts following on the current actix thread.
     pub fn spawn(client: PlatformClient) -> Self {
         let heads = WatchCache::spawn(client.clone(), ObjectKind::ConfigHead);
-        let follower = Self {
-            client,
-            heads,
-            state: Rc::default(),
-        };
+        let follower = Self { client, heads, state: Rc::default() };
         let task = follower.clone();
         actix_rt::spawn(async move {
             let mut changes = task.heads.subscribe();
@@ -62,6 +59,11 @@
         Rc::clone(&self.state.borrow().current)
     }
 
+    /// Reports whether the platform confirmed the generation in force at least once.
+    pub fn is_confirmed(&self) -> bool {
+        self.state.borrow().confirmed
+    }
+
     /// Tells how long ago the platform last confirmed the head.
     pub fn age(&self) -> Option<Duration> {
         self.heads.age()
@@ -81,6 +83,7 @@
 
     async fn apply_head(&self) -> Result<()> {
         let Some(object) = self.heads.find(HEAD_NAME) else {
+            self.state.borrow_mut().confirmed = self.heads.age().is_some();
             return Ok(());
         };
         let head = parse_head(&object)?;
@@ -93,30 +96,27 @@
         if fleet.generation > state.current.generation {
             log::info!("generation {} in force", fleet.generation);
             state.current = Rc::new(fleet);
-            state
-                .segments
-                .retain(|name, _| head.segments.contains(name));
+            state.segments.retain(|name, _| head.segments.contains(name));
         }
+        state.confirmed = true;
         Ok(())
     }
 
     async fn read_fleet(&self, head: &Head) -> Result<Fleet> {
+        let mut texts = Vec::with_capacity(head.segments.len());
         for name in &head.segments {
-            if !self.state.borrow().segments.contains_key(name) {
-                let object = self.client.get(name).await?;
-                self.state
-                    .borrow_mut()
-                    .segments
-                    .insert(name.clone(), object.value);
-            }
+            texts.push(self.read_segment(name).await?);
+        }
+        Fleet::join(head.generation, texts.iter().map(|text| &**text)).map_err(unreadable)
+    }
+
+    async fn read_segment(&self, name: &str) -> Result<Rc<str>> {
+        if let Some(text) = self.state.borrow().segments.get(name) {
+            return Ok(Rc::clone(text));
         }
-        let state = self.state.borrow();
-        let texts: Option<Vec<&str>> = head
-            .segments
-            .iter()
-            .map(|name| state.segments.get(name).map(String::as_str))
-            .collect();
-        Fleet::join(head.generation, texts.ok_or(Error::NotFound)?).map_err(unreadable)
+        let text: Rc<str> = self.client.get(name).await?.value.into();
+        self.state.borrow_mut().segments.insert(name.to_owned(), Rc::clone(&text));
+        Ok(text)
     }
 }
 
--- a/crates/rail_platform/src/error.rs
+++ b/crates/rail_platform/src/error.rs
@@ -43,10 +43,7 @@
 
     /// Reports whether the platform answered at all.
     pub fn is_answer(&self) -> bool {
-        matches!(
-            self,
-            Self::NotFound | Self::AlreadyExists | Self::Conflict | Self::Throttled
-        )
+        matches!(self, Self::NotFound | Self::AlreadyExists | Self::Conflict | Self::Throttled)
     }
 
     /// Names the reason, for counters.
--- a/crates/rail_platform/src/watch.rs
+++ b/crates/rail_platform/src/watch.rs
@@ -42,10 +42,8 @@
 impl WatchCache {
     /// Starts watching a kind on the current actix thread.
     pub fn spawn(client: PlatformClient, kind: ObjectKind) -> Self {
-        let cache = Self {
-            copy: Rc::new(RefCell::new(Copy::default())),
-            changes: watch::Sender::new(0),
-        };
+        let cache =
+            Self { copy: Rc::new(RefCell::new(Copy::default())), changes: watch::Sender::new(0) };
         let task = cache.clone();
         actix_rt::spawn(async move {
             loop {
@@ -82,10 +80,7 @@
     async fn follow(&self, client: &PlatformClient, kind: ObjectKind) -> Result<()> {
         let (objects, version) = client.list(kind).await?;
         self.replace(objects);
-        let reply = client
-            .open_watch(kind, &version)
-            .await?
-            .timeout(Duration::MAX / 4);
+        let reply = client.open_watch(kind, &version).await?.timeout(Duration::MAX / 4);
         let bytes = reply.map_err(std::io::Error::other);
         let codec = LinesCodec::new_with_max_length(MAX_LINE_BYTES);
         let mut lines = FramedRead::new(StreamReader::new(bytes), codec);
--- a/crates/rail_runtime/src/clock.rs
+++ b/crates/rail_runtime/src/clock.rs
@@ -14,9 +14,7 @@
 impl MonotonicClock {
     /// Starts a clock whose epoch is now.
     pub fn start() -> Self {
-        Self {
-            epoch: Instant::now(),
-        }
+        Self { epoch: Instant::now() }
     }
 
     /// Returns the time since the epoch.
--- a/crates/rail_runtime/src/keys.rs
+++ b/crates/rail_runtime/src/keys.rs
@@ -64,11 +64,7 @@
     /// # Errors
     /// Fails when a file can't be read.
     pub fn open(ca: &str, cert: &str, key: &str) -> Result<Self> {
-        Ok(Self {
-            ca_pem: read_pem(ca)?,
-            cert_pem: read_pem(cert)?,
-            key_pem: read_pem(key)?,
-        })
+        Ok(Self { ca_pem: read_pem(ca)?, cert_pem: read_pem(cert)?, key_pem: read_pem(key)? })
     }
 
     /// Builds a TLS server configuration that demands a client certificate.
@@ -125,10 +121,8 @@
     if value.starts_with("-----BEGIN") {
         return Ok(value.to_owned());
     }
-    std::fs::read_to_string(Path::new(value)).map_err(|source| Error::Read {
-        path: value.to_owned(),
-        source,
-    })
+    std::fs::read_to_string(Path::new(value))
+        .map_err(|source| Error::Read { path: value.to_owned(), source })
 }
 
 /// Certificate authority of a fleet.
@@ -145,17 +139,12 @@
     /// Fails when no key can be made.
     pub fn generate() -> Result<Self> {
         let mut params = CertificateParams::default();
-        params
-            .distinguished_name
-            .push(DnType::CommonName, "tarragonrail fleet authority");
+        params.distinguished_name.push(DnType::CommonName, "tarragonrail fleet authority");
         params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
         params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
         let key = KeyPair::generate()?;
         let ca_pem = params.self_signed(&key)?.pem();
-        Ok(Self {
-            issuer: Issuer::new(params, key),
-            ca_pem,
-        })
+        Ok(Self { issuer: Issuer::new(params, key), ca_pem })
     }
 
     /// Issues the keys of a host or an operator under this common name.
@@ -164,19 +153,11 @@
     /// Fails when no key can be made.
     pub fn issue(&self, common_name: &str) -> Result<Keys> {
         let mut params = CertificateParams::new(vec![FLEET_SERVER_NAME.to_owned()])?;
-        params
-            .distinguished_name
-            .push(DnType::CommonName, common_name);
-        params.extended_key_usages = vec![
-            ExtendedKeyUsagePurpose::ServerAuth,
-            ExtendedKeyUsagePurpose::ClientAuth,
-        ];
+        params.distinguished_name.push(DnType::CommonName, common_name);
+        params.extended_key_usages =
+            vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
         let key = KeyPair::generate()?;
         let cert_pem = params.signed_by(&key, &self.issuer)?.pem();
-        Ok(Keys {
-            ca_pem: self.ca_pem.clone(),
-            cert_pem,
-            key_pem: key.serialize_pem(),
-        })
+        Ok(Keys { ca_pem: self.ca_pem.clone(), cert_pem, key_pem: key.serialize_pem() })
     }
 }
--- a/crates/rail_runtime/src/metrics.rs
+++ b/crates/rail_runtime/src/metrics.rs
@@ -68,8 +68,6 @@
 impl Reasons {
     /// Counts one event of this reason.
     pub fn count(&self, reason: &str) {
-        self.family
-            .get_or_create(&vec![("reason".to_owned(), reason.to_owned())])
-            .inc();
+        self.family.get_or_create(&vec![("reason".to_owned(), reason.to_owned())]).inc();
     }
 }
--- a/crates/rail_runtime/src/settings.rs
+++ b/crates/rail_runtime/src/settings.rs
@@ -95,11 +95,7 @@
     /// # Errors
     /// Returns every fault found so far.
     pub fn finish(self) -> Result<()> {
-        if self.faults.is_empty() {
-            Ok(())
-        } else {
-            Err(Faults(self.faults))
-        }
+        if self.faults.is_empty() { Ok(()) } else { Err(Faults(self.faults)) }
     }
 
     fn parse<T: FromStr<Err: ToString> + Default>(
@@ -110,11 +106,7 @@
         match value.parse() {
             Ok(parsed) => parsed,
             Err(error) => {
-                self.faults.push(Fault::Invalid {
-                    name,
-                    value,
-                    reason: error.to_string(),
-                });
+                self.faults.push(Fault::Invalid { name, value, reason: error.to_string() });
                 T::default()
             }
         }
@@ -289,11 +281,7 @@
             entry_lifetime: Duration::from_millis(lifetime_ms),
             policy: reader.or("policy", flags.policy, "rendezvous".to_owned()),
             log_level: reader.or("log-level", flags.log_level, "info".to_owned()),
-            log_format: if format == "text" {
-                LogFormat::Text
-            } else {
-                LogFormat::Json
-            },
+            log_format: if format == "text" { LogFormat::Text } else { LogFormat::Json },
         };
         reader.finish()?;
         Ok(settings)
--- a/crates/rail_runtime/src/stop.rs
+++ b/crates/rail_runtime/src/stop.rs
@@ -14,9 +14,7 @@
 impl StopSignal {
     /// Creates a signal that no operating system signal triggers.
     pub fn new() -> Self {
-        Self {
-            sender: watch::Sender::new(false),
-        }
+        Self { sender: watch::Sender::new(false) }
     }
 
     /// Listens for SIGTERM and SIGINT.
--- /dev/null
+++ b/crates/rail_testfleet/src/fleet.rs
@@ -0,0 +1,342 @@
+//! A small fleet of real processes.
+
+use crate::{
+    network::Network,
+    process::{Process, binary_path},
+};
+use rail_runtime::keys::Authority;
+use serde_json::Value;
+use std::{
+    collections::BTreeMap,
+    net::IpAddr,
+    path::PathBuf,
+    process::{Command, Output},
+    time::{Duration, Instant},
+};
+
+/// Port of every stand-in.
+const STANDIN_PORT: u16 = 9000;
+/// Longest wait for a fleet to come up or settle.
+pub const SETTLE_LIMIT: Duration = Duration::from_secs(30);
+
+/// What a test fleet consists of.
+#[derive(Debug, Clone)]
+pub struct FleetPlan {
+    /// Entry hosts.
+    pub hosts: u8,
+    /// Engines.
+    pub engines: u8,
+    /// Instances of the plain service `feed`.
+    pub services: u8,
+    /// Adapters `a0`, `a1`, ..., each with versions `v1` and `v2`.
+    pub adapters: u32,
+    /// Whether engines refuse old fencing numbers.
+    pub checks_fencing: bool,
+    /// Further flags of each engine stand-in.
+    pub engine_flags: Vec<String>,
+    /// Further flags of the weight store stand-in.
+    pub store_flags: Vec<String>,
+    /// Further variables of each entry host process.
+    pub variables: BTreeMap<String, String>,
+}
+
+impl Default for FleetPlan {
+    fn default() -> Self {
+        Self {
+            hosts: 3,
+            engines: 3,
+            services: 1,
+            adapters: 4,
+            checks_fencing: true,
+            engine_flags: Vec::new(),
+            store_flags: vec!["--rate-per-s=50".into(), "--load-ms=20".into()],
+            variables: BTreeMap::from([
+                ("TARRAGON_ENTRY_LIFETIME_MS".into(), "300".into()),
+                ("TARRAGON_SESSION_TTL_MS".into(), "2000".into()),
+                ("TARRAGON_HEARTBEAT_MS".into(), "250".into()),
+                ("TARRAGON_LOG_FORMAT".into(), "text".into()),
+            ]),
+        }
+    }
+}
+
+/// A running fleet; everything is killed when it is dropped.
+///
+/// Processes are named `platform`, `store`, `engine1`, `service1`,
+/// `host1/gateway`, `host1/scheduler` and `host1/admin`.
+#[derive(Debug)]
+pub struct TestFleet {
+    plan: FleetPlan,
+    processes: BTreeMap<String, Process>,
+    folder: tempfile::TempDir,
+    network: Network,
+}
+
+impl TestFleet {
+    /// Starts a fleet, registers its upstreams and adapters, and waits until
+    /// every engine has an owner and the last generation is in force.
+    pub fn start(plan: FleetPlan) -> Self {
+        let folder = tempfile::tempdir().expect("temporary folder");
+        let network = Network::reserve();
+        let mut fleet = Self { plan, processes: BTreeMap::new(), folder, network };
+        fleet.make_keys();
+        fleet.start_process("platform");
+        fleet.start_process("store");
+        for number in 1..=fleet.plan.engines {
+            fleet.start_process(&format!("engine{number}"));
+        }
+        for number in 1..=fleet.plan.services {
+            fleet.start_process(&format!("service{number}"));
+        }
+        for number in 1..=fleet.plan.hosts {
+            fleet.start_host(number);
+        }
+        fleet.register();
+        fleet.wait_for_owners();
+        fleet
+    }
+
+    /// Starts the three processes of an entry host.
+    pub fn start_host(&mut self, number: u8) {
+        for role in ["scheduler", "admin", "gateway"] {
+            self.start_process(&format!("host{number}/{role}"));
+        }
+    }
+
+    /// Starts, or starts again, a process by its name.
+    pub fn start_process(&mut self, name: &str) {
+        let log = self.folder.path().join(format!("{}.log", name.replace('/', "-")));
+        let process = if let Some((host, role)) = name.split_once('/') {
+            let binary = format!("tarragon-{role}");
+            let variables = self.variables(host);
+            let variables = variables.iter().map(|(k, v)| (k.as_str(), v.clone()));
+            Process::spawn(&binary, &[], variables, &log)
+        } else {
+            let args = self.standin_args(name);
+            let args: Vec<&str> = args.iter().map(String::as_str).collect();
+            Process::spawn("tarragon-standin", &args, [], &log)
+        };
+        self.processes.insert(name.to_owned(), process);
+    }
+
+    /// Waits until the gateway of an entry host takes requests.
+    pub async fn wait_for_gateway(&self, number: u8) {
+        let url = format!("{}/healthz", self.caller_url(number));
+        let started = Instant::now();
+        loop {
+            let reply = awc::Client::default().get(&url).send().await;
+            if reply.is_ok_and(|reply| reply.status().is_success()) {
+                return;
+            }
+            assert!(
+                started.elapsed() < SETTLE_LIMIT,
+                "gateway of host{number} is up: {}",
+                self.log(&format!("host{number}/gateway"))
+            );
+            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Gives a running process.
+    pub fn process(&mut self, name: &str) -> &mut Process {
+        self.processes.get_mut(name).unwrap_or_else(|| panic!("{name} does not run"))
+    }
+
+    /// Kills a process.
+    pub fn kill(&mut self, name: &str) {
+        self.processes.remove(name);
+    }
+
+    /// Takes a process out of the fleet, to stop it gracefully.
+    pub fn take(&mut self, name: &str) -> Process {
+        self.processes.remove(name).unwrap_or_else(|| panic!("{name} does not run"))
+    }
+
+    /// Gives the address of an entry host.
+    pub fn host_ip(&self, number: u8) -> IpAddr {
+        self.network.ip(10 + number)
+    }
+
+    /// Gives the base URL of the caller API of an entry host.
+    pub fn caller_url(&self, number: u8) -> String {
+        format!("http://{}:8080", self.host_ip(number))
+    }
+
+    /// Gives the base URL of a stand-in.
+    pub fn standin_url(&self, name: &str) -> String {
+        format!("http://{}:{STANDIN_PORT}", self.standin_ip(name))
+    }
+
+    /// Switches the faults of a stand-in.
+    pub async fn set_faults(&self, name: &str, faults: Value) {
+        let url = format!("{}/_faults", self.standin_url(name));
+        let reply = awc::Client::default().post(url).send_json(&faults).await;
+        assert!(reply.expect("stand-in answers").status().is_success(), "faults are accepted");
+    }
+
+    /// Reads what a stand-in has seen.
+    pub async fn stats(&self, name: &str) -> Value {
+        let url = format!("{}/_stats", self.standin_url(name));
+        let mut reply = awc::Client::default().get(url).send().await.expect("stand-in answers");
+        let body = reply.body().limit(64 << 20).await.expect("statistics arrive");
+        serde_json::from_slice(&body).expect("statistics are JSON")
+    }
+
+    /// Sums one numeric statistic over all engines.
+    pub async fn sum_engines(&self, key: &str) -> u64 {
+        let mut sum = 0;
+        for number in 1..=self.plan.engines {
+            sum += self.stats(&format!("engine{number}")).await[key].as_u64().unwrap_or(0);
+        }
+        sum
+    }
+
+    /// Runs `tarragonctl` against an entry host.
+    pub fn ctl(&self, host: u8, args: &[&str]) -> Output {
+        Command::new(binary_path("tarragonctl"))
+            .env("TARRAGON_ADMIN", format!("{}:7403", self.host_ip(host)))
+            .env("TARRAGON_CA", self.key_path("ca.pem"))
+            .env("TARRAGON_CERT", self.key_path("operator.pem"))
+            .env("TARRAGON_KEY", self.key_path("operator.key"))
+            .args(args)
+            .output()
+            .expect("tarragonctl starts")
+    }
+
+    /// Reads which host owns each engine, from the status of the first host that answers.
+    pub fn owners(&self) -> BTreeMap<String, String> {
+        for host in 1..=self.plan.hosts {
+            let output = self.ctl(host, &["status", "--json"]);
+            let Ok(status) = serde_json::from_slice::<Value>(&output.stdout) else {
+                continue;
+            };
+            let mut owners = BTreeMap::new();
+            for process in status["processes"].as_array().into_iter().flatten() {
+                for engine in process["owned_engines"].as_array().into_iter().flatten() {
+                    let engine = engine.as_str().unwrap_or_default().to_owned();
+                    owners.insert(engine, process["host"].as_str().unwrap_or_default().to_owned());
+                }
+            }
+            return owners;
+        }
+        BTreeMap::new()
+    }
+
+    /// Gives the log of a process, for messages of failed tests.
+    pub fn log(&self, name: &str) -> String {
+        let path = self.folder.path().join(format!("{}.log", name.replace('/', "-")));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Gives the path of a key file.
+    pub fn key_path(&self, name: &str) -> PathBuf {
+        self.folder.path().join(name)
+    }
+
+    fn make_keys(&self) {
+        let authority = Authority::generate().expect("authority");
+        let hosts = (1..=self.plan.hosts).map(|number| format!("host{number}"));
+        for name in hosts.chain(["operator".to_owned()]) {
+            let keys = authority.issue(&name).expect("keys");
+            std::fs::write(self.key_path("ca.pem"), &keys.ca_pem).expect("key file");
+            std::fs::write(self.key_path(&format!("{name}.pem")), &keys.cert_pem)
+                .expect("key file");
+            std::fs::write(self.key_path(&format!("{name}.key")), &keys.key_pem).expect("key file");
+        }
+    }
+
+    fn variables(&self, host: &str) -> BTreeMap<String, String> {
+        let number: u8 = host.trim_start_matches("host").parse().expect("hosts are numbered");
+        let mut variables = self.plan.variables.clone();
+        let key = |name: String| self.key_path(&name).display().to_string();
+        variables.extend([
+            ("TARRAGON_HOST".to_owned(), host.to_owned()),
+            ("TARRAGON_ZONE".to_owned(), format!("zone{}", (number - 1) % 3 + 1)),
+            ("TARRAGON_IP".to_owned(), self.host_ip(number).to_string()),
+            ("TARRAGON_PLATFORM".to_owned(), format!("{}:{STANDIN_PORT}", self.network.ip(1))),
+            ("TARRAGON_CA".to_owned(), key("ca.pem".to_owned())),
+            ("TARRAGON_CERT".to_owned(), key(format!("{host}.pem"))),
+            ("TARRAGON_KEY".to_owned(), key(format!("{host}.key"))),
+        ]);
+        variables
+    }
+
+    fn standin_ip(&self, name: &str) -> IpAddr {
+        let number = |prefix: &str| name.strip_prefix(prefix).and_then(|n| n.parse::<u8>().ok());
+        match (name, number("engine"), number("service")) {
+            ("platform", ..) => self.network.ip(1),
+            ("store", ..) => self.network.ip(2),
+            (_, Some(engine), _) => self.network.ip(100 + engine),
+            (_, _, Some(service)) => self.network.ip(200 + service),
+            _ => panic!("{name} is not a stand-in"),
+        }
+    }
+
+    fn standin_args(&self, name: &str) -> Vec<String> {
+        let role = name.trim_end_matches(|c: char| c.is_ascii_digit());
+        let listen = format!("--listen={}:{STANDIN_PORT}", self.standin_ip(name));
+        let mut args = vec![role.to_owned(), listen];
+        match role {
+            "store" => args.extend(self.plan.store_flags.iter().cloned()),
+            "engine" => {
+                args.push(format!("--store={}:{STANDIN_PORT}", self.network.ip(2)));
+                args.extend(self.plan.engine_flags.iter().cloned());
+                if self.plan.checks_fencing {
+                    args.push("--checks-fencing".to_owned());
+                }
+            }
+            _ => {}
+        }
+        args
+    }
+
+    fn register(&self) {
+        let started = Instant::now();
+        while !self.ctl(1, &["base", "llama"]).status.success() {
+            assert!(
+                started.elapsed() < SETTLE_LIMIT,
+                "operator RPC is up: {}",
+                self.log("host1/admin")
+            );
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        for number in 1..=self.plan.engines {
+            let name = format!("engine{number}");
+            self.register_upstream(&name, "engine", "llama", (number - 1) % 3 + 1);
+        }
+        for number in 1..=self.plan.services {
+            self.register_upstream(&format!("service{number}"), "service", "feed", 1);
+        }
+        for number in 0..self.plan.adapters {
+            let adapter = format!("a{number}");
+            self.ctl_ok(&["adapter", "--base", "llama", &adapter, "v1", "v2"]);
+        }
+    }
+
+    fn register_upstream(&self, name: &str, kind: &str, group: &str, zone: u8) {
+        let address = format!("{}:{STANDIN_PORT}", self.standin_ip(name));
+        let zone = format!("zone{zone}");
+        let mut args = vec!["upstream", name, "--kind", kind, "--group", group];
+        args.extend(["--address", &address, "--zone", &zone, "--slots", "8"]);
+        if self.plan.checks_fencing {
+            args.push("--checks-fencing");
+        }
+        self.ctl_ok(&args);
+    }
+
+    fn ctl_ok(&self, args: &[&str]) {
+        let output = self.ctl(1, args);
+        let error = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(output.status.success(), "tarragonctl {args:?}: {error}");
+    }
+
+    fn wait_for_owners(&self) {
+        let started = Instant::now();
+        while self.owners().len() < usize::from(self.plan.engines) {
+            assert!(started.elapsed() < SETTLE_LIMIT, "owners: {}", self.log("host1/scheduler"));
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        let output = self.ctl(1, &["status", "--wait", "1"]);
+        assert!(output.status.success(), "generation is in force");
+    }
+}
--- /dev/null
+++ b/crates/rail_testfleet/src/process.rs
@@ -0,0 +1,98 @@
+//! One process of the product, with the signals that tests send.
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use std::{
+    ffi::OsStr,
+    fs::File,
+    path::{Path, PathBuf},
+    process::{Child, Command, ExitStatus, Stdio},
+    time::{Duration, Instant},
+};
+
+/// A running process; it is killed when dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a binary of the workspace with these arguments and variables.
+    pub fn spawn<'a>(
+        binary: &str,
+        args: &[&str],
+        variables: impl IntoIterator<Item = (&'a str, String)>,
+        log: &Path,
+    ) -> Self {
+        let log = File::options().create(true).append(true).open(log).expect("log file opens");
+        let child = Command::new(binary_path(binary))
+            .args(args.iter().map(OsStr::new))
+            .envs(variables)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .expect("binary starts; build the workspace first");
+        Self { child }
+    }
+
+    /// Asks the process to stop and waits until it has ended.
+    pub fn stop(mut self, limit: Duration) -> ExitStatus {
+        self.signal(Signal::SIGTERM);
+        let started = Instant::now();
+        while started.elapsed() < limit {
+            if let Some(status) = self.child.try_wait().expect("child can be waited for") {
+                return status;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        panic!("process did not stop within {limit:?}");
+    }
+
+    /// Asks the process to stop and does not wait.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Stops the process from running until [`Process::thaw`].
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a frozen process run again.
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Reports whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().expect("child can be waited for").is_some()
+    }
+
+    /// Gives the identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        // A process that has ended takes no signal.
+        let _ended = kill(Pid::from_raw(self.child.id() as i32), signal);
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Both fail only when the process has ended and was waited for.
+        let _killed = self.child.kill();
+        let _waited = self.child.wait();
+    }
+}
+
+/// Finds a binary of the workspace beside the running test.
+pub fn binary_path(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("path of the test is known");
+    let profile = test.ancestors().nth(2).expect("tests run in target/PROFILE/deps");
+    profile.join(name)
+}
--- /dev/null
+++ b/crates/rail_testfleet/tests/whole_path.rs
@@ -0,0 +1,96 @@
+//! The whole path with real processes.
+
+use rail_testfleet::{Answer, Ask, FleetPlan, TestFleet};
+use serde_json::{Value, json};
+use std::time::Duration;
+
+#[actix_rt::test]
+async fn every_answer_comes_from_the_named_version() {
+    let fleet = TestFleet::start(FleetPlan::default());
+    for adapter in 0..4 {
+        for (host, version) in [(1, "v1"), (2, "v2"), (3, "v1")] {
+            let ask = Ask::new(&format!("llama:a{adapter}@{version}"), 3);
+            let whole = ask.send(&fleet.caller_url(host)).await;
+            assert!(ask.is_answered_by(&whole), "{whole:?}");
+            let streamed = ask.stream(&fleet.caller_url(host)).await;
+            assert!(ask.is_answered_by(&streamed), "{streamed:?}");
+        }
+    }
+    assert_eq!(fleet.sum_engines("evicted_in_use").await, 0);
+}
+
+#[actix_rt::test]
+async fn unknown_names_are_refused_and_cost_no_load() {
+    let fleet = TestFleet::start(FleetPlan::default());
+    let cases = [
+        ("nobody:a0@v1", "unknown_base"),
+        ("llama:nobody@v1", "unknown_adapter"),
+        ("llama:a0@v9", "unknown_version"),
+        ("llama", "invalid_model_name"),
+    ];
+    for (model, expected) in cases {
+        let answer = Ask::new(model, 1).send(&fleet.caller_url(1)).await;
+        let expected = Answer::Problem { reason: expected.to_owned(), ran: "no".to_owned() };
+        assert_eq!(answer, expected, "{model}");
+    }
+    assert_eq!(fleet.sum_engines("loads").await, 0);
+}
+
+#[actix_rt::test]
+async fn bad_bodies_get_a_clear_refusal() {
+    let fleet = TestFleet::start(FleetPlan::default());
+    let url = format!("{}/v1/completions", fleet.caller_url(1));
+    let misspelt = json!({"model": "llama:a0@v1", "prompt": "x", "max_tokenz": 1}).to_string();
+    let cases = [
+        ("{".to_owned(), 400, "invalid_body"),
+        (misspelt, 400, "invalid_body"),
+        (format!("\"{}\"", "x".repeat(2 << 20)), 413, "body_too_large"),
+    ];
+    for (body, status, reason) in cases {
+        let mut reply = awc::Client::default().post(&url).send_body(body).await.expect("reply");
+        assert_eq!(reply.status().as_u16(), status);
+        let problem: Value =
+            serde_json::from_slice(&reply.body().await.expect("body")).expect("JSON");
+        assert_eq!(problem["reason"], reason);
+    }
+}
+
+#[actix_rt::test]
+async fn stopping_any_process_cuts_off_no_request() {
+    let mut fleet = TestFleet::start(FleetPlan::default());
+    for name in ["host1/gateway", "host1/scheduler", "host1/admin"] {
+        let ask = Ask::new("llama:a0@v1", 150);
+        let urls: Vec<String> = (1..=3).map(|host| fleet.caller_url(host)).collect();
+        let requests = urls.iter().map(|url| ask.stream(url));
+        let requests = futures_util::future::join_all(requests);
+        let process = fleet.take(name);
+        let stopping = async {
+            actix_rt::time::sleep(Duration::from_millis(300)).await;
+            actix_rt::task::spawn_blocking(move || process.stop(Duration::from_secs(20))).await
+        };
+        let (answers, status) = futures_util::future::join(requests, stopping).await;
+        for answer in answers {
+            assert!(ask.is_answered_by(&answer), "{name}: {answer:?}");
+        }
+        assert!(status.expect("stopped").success(), "{name} ends with success");
+        fleet.start_process(name);
+        fleet.wait_for_gateway(1).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_gateway_without_configuration_calls_no_name_unknown() {
+    let mut fleet = TestFleet::start(FleetPlan::default());
+    fleet.set_faults("platform", json!({"down": true})).await;
+    fleet.kill("host1/gateway");
+    fleet.start_process("host1/gateway");
+    let ask = Ask::new("llama:a0@v1", 1);
+    let mut answer = Answer::Unreachable;
+    while answer == Answer::Unreachable {
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+        answer = ask.send(&fleet.caller_url(1)).await;
+    }
+    let expected =
+        Answer::Problem { reason: "stale_configuration".to_owned(), ran: "no".to_owned() };
+    assert_eq!(answer, expected);
+}
--- a/crates/rail_upstream/src/engine.rs
+++ b/crates/rail_upstream/src/engine.rs
@@ -79,9 +79,7 @@
 
 impl std::fmt::Debug for EngineClient {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("EngineClient")
-            .field("url", &self.url)
-            .finish()
+        f.debug_struct("EngineClient").field("url", &self.url).finish_non_exhaustive()
     }
 }
 
@@ -105,14 +103,8 @@
     /// Opens a client of the engine at this address.
     pub fn open(address: SocketAddr) -> Self {
         let connector = Connector::new().limit(0).timeout(CONNECT_TIMEOUT);
-        let http = Client::builder()
-            .connector(connector)
-            .timeout(ORDER_TIMEOUT)
-            .finish();
-        Self {
-            http,
-            url: format!("http://{address}"),
-        }
+        let http = Client::builder().connector(connector).timeout(ORDER_TIMEOUT).finish();
+        Self { http, url: format!("http://{address}") }
     }
 
     /// Orders the engine to load an adapter version.
@@ -120,12 +112,7 @@
     /// # Errors
     /// Any failure of the order.
     pub async fn load_adapter(&self, model: &str, fence: u64) -> Result<()> {
-        self.order(
-            "/v1/load_lora_adapter",
-            &AdapterOrder { lora_name: model },
-            fence,
-        )
-        .await
+        self.order("/v1/load_lora_adapter", &AdapterOrder { lora_name: model }, fence).await
     }
 
     /// Orders the engine to unload an adapter version.
@@ -133,12 +120,7 @@
     /// # Errors
     /// Any failure of the order.
     pub async fn unload_adapter(&self, model: &str, fence: u64) -> Result<()> {
-        self.order(
-            "/v1/unload_lora_adapter",
-            &AdapterOrder { lora_name: model },
-            fence,
-        )
-        .await
+        self.order("/v1/unload_lora_adapter", &AdapterOrder { lora_name: model }, fence).await
     }
 
     /// Reads the engine's load report.
@@ -146,14 +128,8 @@
     /// # Errors
     /// Any failure of the call.
     pub async fn load_report(&self) -> Result<LoadReport> {
-        let request = self
-            .http
-            .get(format!("{}/load", self.url))
-            .timeout(CONNECT_TIMEOUT);
-        let mut reply = request
-            .send()
-            .await
-            .map_err(|error| classify_send(&error))?;
+        let request = self.http.get(format!("{}/load", self.url)).timeout(CONNECT_TIMEOUT);
+        let mut reply = request.send().await.map_err(|error| classify_send(&error))?;
         reply.json().await.map_err(|_error| Error::Unreadable)
     }
 
@@ -185,13 +161,7 @@
     /// Any failure of the call.
     pub async fn cancel(&self, request_id: u128) -> Result<()> {
         let url = format!("{}/v1/responses/{request_id:032x}/cancel", self.url);
-        check_status(
-            self.http
-                .post(url)
-                .send()
-                .await
-                .map_err(|error| classify_send(&error))?,
-        )?;
+        check_status(self.http.post(url).send().await.map_err(|error| classify_send(&error))?)?;
         Ok(())
     }
 
@@ -240,10 +210,6 @@
         let offset = event.id.parse().map_err(|_error| Error::Unreadable)?;
         let chunk: Chunk = serde_json::from_str(&event.data).map_err(|_error| Error::Unreadable)?;
         let text = chunk.choices.into_iter().map(|c| c.text).collect();
-        Ok(StreamPart::Token {
-            offset,
-            model: chunk.model,
-            text,
-        })
+        Ok(StreamPart::Token { offset, model: chunk.model, text })
     }))
 }
--- a/crates/tarragon_admin/src/accept.rs
+++ b/crates/tarragon_admin/src/accept.rs
@@ -91,15 +91,7 @@
         expected: Option<Generation>,
     ) -> Result<Generation> {
         let (reply, result) = oneshot::channel();
-        self.ask(
-            Request::Accept {
-                changes,
-                expected,
-                reply,
-            },
-            result,
-        )
-        .await
+        self.ask(Request::Accept { changes, expected, reply }, result).await
     }
 
     /// Reads the accepted generation.
@@ -109,10 +101,7 @@
     }
 
     async fn ask<T>(&self, request: Request, result: oneshot::Receiver<Result<T>>) -> Result<T> {
-        self.requests
-            .send(request)
-            .await
-            .map_err(|_closed| Error::Stopping)?;
+        self.requests.send(request).await.map_err(|_closed| Error::Stopping)?;
         result.await.map_err(|_closed| Error::Stopping)?
     }
 }
@@ -128,11 +117,7 @@
     async fn handle(&self, request: Request) {
         // An operator that is gone needs no reply.
         match request {
-            Request::Accept {
-                changes,
-                expected,
-                reply,
-            } => {
+            Request::Accept { changes, expected, reply } => {
                 let result = self.accept(&changes, expected).await;
                 match &result {
                     Ok(_) => {
@@ -155,10 +140,7 @@
             if let Some(expected) = expected
                 && expected != fleet.generation
             {
-                return Err(Error::Conflict {
-                    expected,
-                    current: fleet.generation,
-                });
+                return Err(Error::Conflict { expected, current: fleet.generation });
             }
             let next = fleet.apply(changes)?;
             if self.try_accept(&next, head).await? {
@@ -171,14 +153,11 @@
     /// Writes a generation; returns whether it was accepted or another won.
     async fn try_accept(&self, next: &Fleet, head: Option<Object>) -> Result<bool> {
         let nonce: u64 = rand::random();
-        let (next_head, segments) = next
-            .split(nonce)
-            .map_err(|_error| Error::Platform(PlatformError::Unreadable))?;
+        let (next_head, segments) =
+            next.split(nonce).map_err(|_error| Error::Platform(PlatformError::Unreadable))?;
         for segment in &segments {
-            let created = self
-                .platform
-                .create(ObjectKind::ConfigSegment, &segment.name, &segment.text)
-                .await;
+            let created =
+                self.platform.create(ObjectKind::ConfigSegment, &segment.name, &segment.text).await;
             match created {
                 Ok(_) | Err(PlatformError::AlreadyExists) => {}
                 Err(error) => return Err(Error::Platform(error)),
@@ -189,15 +168,9 @@
         let written = match &head {
             Some(head) => {
                 let kind = ObjectKind::ConfigHead;
-                self.platform
-                    .update(kind, HEAD_NAME, &value, &head.version)
-                    .await
-            }
-            None => {
-                self.platform
-                    .create(ObjectKind::ConfigHead, HEAD_NAME, &value)
-                    .await
+                self.platform.update(kind, HEAD_NAME, &value, &head.version).await
             }
+            None => self.platform.create(ObjectKind::ConfigHead, HEAD_NAME, &value).await,
         };
         match written {
             Ok(_) => Ok(true),
--- a/crates/tarragon_admin/src/main.rs
+++ b/crates/tarragon_admin/src/main.rs
@@ -57,9 +57,7 @@
     Server::builder()
         .tls_config(tls)?
         .timeout(CALL_TIMEOUT)
-        .add_service(OperatorServer::new(operator::OperatorRpc::new(
-            acceptor, gossip,
-        )))
+        .add_service(OperatorServer::new(operator::OperatorRpc::new(acceptor, gossip)))
         .serve_with_shutdown(address, async move { stop.wait().await })
         .await?;
     Ok(())
--- a/crates/tarragon_admin/src/operator.rs
+++ b/crates/tarragon_admin/src/operator.rs
@@ -29,10 +29,7 @@
         changes: Vec<Change>,
         expected: Option<api::Expected>,
     ) -> Reply<api::ChangeReply> {
-        let accepted = self
-            .acceptor
-            .accept(changes, expected.map(|e| e.generation))
-            .await;
+        let accepted = self.acceptor.accept(changes, expected.map(|e| e.generation)).await;
         let generation = accepted.map_err(|error| to_status(&error))?;
         Ok(Response::new(api::ChangeReply { generation }))
     }
@@ -96,29 +93,17 @@
 
     async fn apply(&self, request: Request<api::ApplyRequest>) -> Reply<api::ChangeReply> {
         let request = request.into_inner();
-        let changes = request
-            .changes
-            .into_iter()
-            .map(any_change)
-            .collect::<Result<_, _>>()?;
+        let changes = request.changes.into_iter().map(any_change).collect::<Result<_, _>>()?;
         self.change(changes, request.expected).await
     }
 
     async fn list(&self, _request: Request<api::ListRequest>) -> Reply<api::ListReply> {
-        let fleet = self
-            .acceptor
-            .read()
-            .await
-            .map_err(|error| to_status(&error))?;
+        let fleet = self.acceptor.read().await.map_err(|error| to_status(&error))?;
         Ok(Response::new(list_reply(&fleet)))
     }
 
     async fn status(&self, _request: Request<api::StatusRequest>) -> Reply<api::StatusReply> {
-        let fleet = self
-            .acceptor
-            .read()
-            .await
-            .map_err(|error| to_status(&error))?;
+        let fleet = self.acceptor.read().await.map_err(|error| to_status(&error))?;
         let members = self.gossip.members().into_iter();
         let processes = members.map(|(heartbeat, age)| api::ProcessStatus {
             host: heartbeat.host,
@@ -144,9 +129,7 @@
         Some(api::change::Change::Upstream(request)) => upstream_change(request),
         Some(api::change::Change::UrgencyDefault(request)) => urgency_change(request),
         Some(api::change::Change::Drain(request)) => Ok(drain_change(request)),
-        None => Err(Status::invalid_argument(
-            "change is missing or not known to this server",
-        )),
+        None => Err(Status::invalid_argument("change is missing or not known to this server")),
     }
 }
 
@@ -155,52 +138,30 @@
         api::Urgency::Unspecified => Urgency::Urgent,
         other => to_urgency(other)?,
     };
-    Ok(Change::RegisterBase {
-        base: request.base,
-        urgency_default,
-    })
+    Ok(Change::RegisterBase { base: request.base, urgency_default })
 }
 
 fn adapter_change(request: api::RegisterAdapterRequest) -> Change {
-    Change::RegisterAdapter {
-        base: request.base,
-        adapter: request.adapter,
-    }
+    Change::RegisterAdapter { base: request.base, adapter: request.adapter }
 }
 
 fn version_change(request: api::RegisterVersionRequest) -> Change {
-    let api::RegisterVersionRequest {
-        base,
-        adapter,
-        version,
-        ..
-    } = request;
-    Change::RegisterVersion {
-        base,
-        adapter,
-        version,
-    }
+    let api::RegisterVersionRequest { base, adapter, version, .. } = request;
+    Change::RegisterVersion { base, adapter, version }
 }
 
 fn urgency_change(request: api::SetUrgencyDefaultRequest) -> Result<Change, Status> {
     let urgency = to_urgency(request.urgency())?;
-    Ok(Change::SetUrgencyDefault {
-        base: request.base,
-        urgency,
-    })
+    Ok(Change::SetUrgencyDefault { base: request.base, urgency })
 }
 
 fn drain_change(request: api::DrainUpstreamRequest) -> Change {
-    Change::DrainUpstream {
-        name: request.name,
-        leaving: request.leaving,
-    }
+    Change::DrainUpstream { name: request.name, leaving: request.leaving }
 }
 
 fn upstream_change(request: api::RegisterUpstreamRequest) -> Result<Change, Status> {
-    let upstream = request
-        .upstream
-        .ok_or_else(|| Status::invalid_argument("upstream is missing"))?;
+    let upstream =
+        request.upstream.ok_or_else(|| Status::invalid_argument("upstream is missing"))?;
     let kind = match upstream.kind() {
         api::UpstreamKind::Engine => UpstreamKind::Engine,
         api::UpstreamKind::Service => UpstreamKind::Service,
@@ -254,29 +215,24 @@
             versions: entry
                 .versions
                 .iter()
-                .map(|version| api::Version {
-                    version: version.clone(),
-                })
+                .map(|version| api::Version { version: version.clone() })
                 .collect(),
         })
     });
-    let upstreams = fleet
-        .upstreams
-        .iter()
-        .map(|(name, upstream)| api::Upstream {
-            name: name.clone(),
-            kind: match upstream.kind {
-                UpstreamKind::Engine => api::UpstreamKind::Engine.into(),
-                UpstreamKind::Service => api::UpstreamKind::Service.into(),
-            },
-            group: upstream.group.clone(),
-            address: upstream.address.to_string(),
-            zone: upstream.zone.clone(),
-            slots: upstream.slots,
-            batch: upstream.batch,
-            checks_fencing: upstream.checks_fencing,
-            leaving: upstream.leaving,
-        });
+    let upstreams = fleet.upstreams.iter().map(|(name, upstream)| api::Upstream {
+        name: name.clone(),
+        kind: match upstream.kind {
+            UpstreamKind::Engine => api::UpstreamKind::Engine.into(),
+            UpstreamKind::Service => api::UpstreamKind::Service.into(),
+        },
+        group: upstream.group.clone(),
+        address: upstream.address.to_string(),
+        zone: upstream.zone.clone(),
+        slots: upstream.slots,
+        batch: upstream.batch,
+        checks_fencing: upstream.checks_fencing,
+        leaving: upstream.leaving,
+    });
     api::ListReply {
         generation: fleet.generation,
         bases: bases.collect(),
--- a/crates/tarragon_gateway/src/caller.rs
+++ b/crates/tarragon_gateway/src/caller.rs
@@ -89,31 +89,14 @@
 
 async fn complete(gateway: Data, body: web::Payload) -> Result<HttpResponse> {
     let body: CompletionBody = read_body(&gateway, body).await?;
-    answer(
-        gateway,
-        body.model,
-        body.prompt,
-        body.options,
-        Shape::Completion,
-    )
-    .await
+    answer(gateway, body.model, body.prompt, body.options, Shape::Completion).await
 }
 
 async fn chat(gateway: Data, body: web::Payload) -> Result<HttpResponse> {
     let body: ChatBody = read_body(&gateway, body).await?;
-    let lines: Vec<String> = body
-        .messages
-        .iter()
-        .map(|m| format!("{}: {}", m.role, m.content))
-        .collect();
-    answer(
-        gateway,
-        body.model,
-        lines.join("\n"),
-        body.options,
-        Shape::Chat,
-    )
-    .await
+    let lines: Vec<String> =
+        body.messages.iter().map(|m| format!("{}: {}", m.role, m.content)).collect();
+    answer(gateway, body.model, lines.join("\n"), body.options, Shape::Chat).await
 }
 
 async fn read_body<T: serde::de::DeserializeOwned>(
@@ -148,9 +131,7 @@
     if options.stream {
         return Ok(stream_answer(gateway, id, model, answer, shape));
     }
-    let text = collect(answer)
-        .await
-        .inspect_err(|problem| count_problem(&gateway, problem))?;
+    let text = collect(answer).await.inspect_err(|problem| count_problem(&gateway, problem))?;
     gateway.metrics.answers.inc();
     Ok(HttpResponse::Ok().json(whole(id, &model, &text, shape)))
 }
@@ -162,6 +143,7 @@
     options: &Options,
 ) -> Result<(RequestId, Answer)> {
     let name: ModelName = model.parse()?;
+    gateway.check_configuration()?;
     let urgency = match options.urgency {
         Some(urgency) => urgency,
         None => gateway.config.current().resolve(&name)?.urgency_default,
@@ -169,9 +151,7 @@
     gateway.config.current().resolve(&name)?;
     let max_tokens = options.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
     if max_tokens == 0 || max_tokens > LIMIT_MAX_TOKENS {
-        return Err(Problem::Body(format!(
-            "max_tokens must be 1 to {LIMIT_MAX_TOKENS}"
-        )));
+        return Err(Problem::Body(format!("max_tokens must be 1 to {LIMIT_MAX_TOKENS}")));
     }
     let default_deadline = match urgency {
         Urgency::Urgent => URGENT_DEADLINE,
@@ -186,9 +166,7 @@
         urgent: urgency == Urgency::Urgent,
         idempotent: options.idempotent,
         caller: options.user.clone().unwrap_or_default(),
-        deadline: options
-            .deadline_ms
-            .map_or(default_deadline, Duration::from_millis),
+        deadline: options.deadline_ms.map_or(default_deadline, Duration::from_millis),
     };
     let id = order.request_id;
     Ok((id, gateway.submit(order, &name.base).await?))
@@ -234,23 +212,17 @@
             Some((Ok::<_, std::convert::Infallible>(Bytes::from(event)), next))
         }
     });
-    HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .streaming(events)
+    HttpResponse::Ok().content_type("text/event-stream").streaming(events)
 }
 
 fn whole(id: RequestId, model: &str, text: &str, shape: Shape) -> Value {
     let (object, choice) = match shape {
-        Shape::Completion => (
-            "text_completion",
-            json!({"index": 0, "text": text, "finish_reason": "stop"}),
-        ),
+        Shape::Completion => {
+            ("text_completion", json!({"index": 0, "text": text, "finish_reason": "stop"}))
+        }
         Shape::Chat => {
             let message = json!({"role": "assistant", "content": text});
-            (
-                "chat.completion",
-                json!({"index": 0, "message": message, "finish_reason": "stop"}),
-            )
+            ("chat.completion", json!({"index": 0, "message": message, "finish_reason": "stop"}))
         }
     };
     json!({"id": format!("{id:032x}"), "object": object, "model": model, "choices": [choice]})
@@ -259,10 +231,7 @@
 fn chunk(id: RequestId, model: &str, text: &str, shape: Shape) -> Value {
     let (object, choice) = match shape {
         Shape::Completion => ("text_completion", json!({"index": 0, "text": text})),
-        Shape::Chat => (
-            "chat.completion.chunk",
-            json!({"index": 0, "delta": {"content": text}}),
-        ),
+        Shape::Chat => ("chat.completion.chunk", json!({"index": 0, "delta": {"content": text}})),
     };
     json!({"id": format!("{id:032x}"), "object": object, "model": model, "choices": [choice]})
 }
@@ -291,13 +260,13 @@
 async fn health(gateway: Data, _request: HttpRequest) -> HttpResponse {
     if gateway.stop.is_stopping() {
         HttpResponse::ServiceUnavailable().body("leaving")
+    } else if !gateway.config.is_confirmed() {
+        HttpResponse::ServiceUnavailable().body("no configuration yet")
     } else {
         HttpResponse::Ok().body("ok")
     }
 }
 
 async fn render_metrics(gateway: Data) -> HttpResponse {
-    HttpResponse::Ok()
-        .content_type("application/openmetrics-text")
-        .body(gateway.registry.render())
+    HttpResponse::Ok().content_type("application/openmetrics-text").body(gateway.registry.render())
 }
--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -102,8 +102,7 @@
                 .iter()
                 .filter_map(|o| serde_json::from_str::<SessionRecord>(&o.value).ok())
                 .filter(|record| !record.revoked);
-            self.gossip
-                .set_peers(live.map(|record| record.address).collect());
+            self.gossip.set_peers(live.map(|record| record.address).collect());
             let generation = self.config.current().generation;
             self.gossip.update_own(|own| own.generation = generation);
             actix_rt::time::sleep(PEER_INTERVAL).await;
--- a/crates/tarragon_gateway/src/problem.rs
+++ b/crates/tarragon_gateway/src/problem.rs
@@ -77,11 +77,7 @@
             kind: format!("/problems/{reason}"),
             title: self.to_string(),
             status: self.status_code().as_u16(),
-            ran: if matches!(self, Self::Failed(_)) {
-                "unknown"
-            } else {
-                "no"
-            },
+            ran: if matches!(self, Self::Failed(_)) { "unknown" } else { "no" },
             retry_after_ms: self.retry_after().map(|time| time.as_millis() as u64),
             reason,
         }
--- a/crates/tarragon_gateway/src/route.rs
+++ b/crates/tarragon_gateway/src/route.rs
@@ -61,32 +61,37 @@
 }
 
 impl Gateway {
+    /// Refuses work while no configuration was read since the start.
+    ///
+    /// # Errors
+    /// [`NotRunReason::StaleConfiguration`]: a name that is not known yet is no unknown name.
+    pub fn check_configuration(&self) -> Result<()> {
+        if self.config.is_confirmed() {
+            return Ok(());
+        }
+        let reason = NotRunReason::StaleConfiguration;
+        Err(NotRun { reason, retry_after: NO_OWNER_RETRY }.into())
+    }
+
     /// Submits an order to the owners of its candidates until one dispatches it.
+    ///
+    /// # Errors
+    /// [`Problem::NotRun`] when no owner took it, [`Problem::Failed`] when one may have run it.
     pub async fn submit(&self, mut order: WorkOrder, base: &str) -> Result<Answer> {
         let started = Instant::now();
         let deadline = order.deadline;
-        let mut last = NotRun {
-            reason: NotRunReason::NoOwner,
-            retry_after: NO_OWNER_RETRY,
-        };
+        let mut last = NotRun { reason: NotRunReason::NoOwner, retry_after: NO_OWNER_RETRY };
         for _pass in 0..MAX_PASSES {
             for (engine, owner) in self.candidates(&order.model, base) {
                 let Some(left) = deadline.checked_sub(started.elapsed()) else {
                     let reason = NotRunReason::Deadline;
-                    return Err(NotRun {
-                        reason,
-                        retry_after: NO_OWNER_RETRY,
-                    }
-                    .into());
+                    return Err(NotRun { reason, retry_after: NO_OWNER_RETRY }.into());
                 };
                 order.engine = engine;
                 order.deadline = left;
                 match self.try_owner(&order, owner).await {
                     Ok(replies) => {
-                        return Ok(Answer {
-                            replies,
-                            next_offset: 0,
-                        });
+                        return Ok(Answer { replies, next_offset: 0 });
                     }
                     Err(Problem::NotRun(not_run)) => {
                         self.metrics.retries.count(&not_run.reason.to_string());
@@ -119,14 +124,8 @@
 
     /// Submits to one owner and waits until the order is dispatched.
     async fn try_owner(&self, order: &WorkOrder, owner: SocketAddr) -> Result<ReplyStream> {
-        let unreachable = NotRun {
-            reason: NotRunReason::Unreachable,
-            retry_after: NO_OWNER_RETRY,
-        };
-        let call = self
-            .peers
-            .call(owner, &PeerRequest::Work(order.clone()))
-            .await;
+        let unreachable = NotRun { reason: NotRunReason::Unreachable, retry_after: NO_OWNER_RETRY };
+        let call = self.peers.call(owner, &PeerRequest::Work(order.clone())).await;
         let mut replies = match call {
             Ok(replies) => replies,
             Err(rail_peer::Error::Connect) => return Err(unreachable.into()),
--- a/crates/tarragon_gateway/src/services.rs
+++ b/crates/tarragon_gateway/src/services.rs
@@ -24,23 +24,15 @@
 
 impl std::fmt::Debug for Services {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Services")
-            .field("in_flight", &self.in_flight)
-            .finish_non_exhaustive()
+        f.debug_struct("Services").field("in_flight", &self.in_flight).finish_non_exhaustive()
     }
 }
 
 impl Default for Services {
     fn default() -> Self {
         let connector = Connector::new().limit(0).timeout(CONNECT_TIMEOUT);
-        let http = Client::builder()
-            .connector(connector)
-            .timeout(CALL_TIMEOUT)
-            .finish();
-        Self {
-            http,
-            in_flight: Rc::default(),
-        }
+        let http = Client::builder().connector(connector).timeout(CALL_TIMEOUT).finish();
+        Self { http, in_flight: Rc::default() }
     }
 }
 
@@ -61,15 +53,8 @@
 
 impl Services {
     fn start_call(&self, upstream: &str) -> InFlight {
-        *self
-            .in_flight
-            .borrow_mut()
-            .entry(upstream.to_owned())
-            .or_default() += 1;
-        InFlight {
-            services: self.clone(),
-            upstream: upstream.to_owned(),
-        }
+        *self.in_flight.borrow_mut().entry(upstream.to_owned()).or_default() += 1;
+        InFlight { services: self.clone(), upstream: upstream.to_owned() }
     }
 
     fn calls_on(&self, upstream: &str) -> u32 {
@@ -108,6 +93,7 @@
         .await
         .map_err(|_limit| Problem::TooLarge)?
         .map_err(|error| Problem::Body(error.to_string()))?;
+    gateway.check_configuration()?;
     let fleet = gateway.config.current();
     let (name, upstream) = fleet
         .services_of(service)
@@ -121,17 +107,10 @@
             call = call.insert_header((header, value.clone()));
         }
     }
-    let mut reply = call
-        .send_body(body)
-        .await
-        .map_err(|error| classify(&error))?;
+    let mut reply = call.send_body(body).await.map_err(|error| classify(&error))?;
     if reply.status() == StatusCode::SERVICE_UNAVAILABLE {
         let reason = NotRunReason::RefusedByUpstream;
-        return Err(NotRun {
-            reason,
-            retry_after: RETRY_AFTER,
-        }
-        .into());
+        return Err(NotRun { reason, retry_after: RETRY_AFTER }.into());
     }
     let bytes = reply
         .body()
@@ -147,11 +126,9 @@
 
 fn classify(error: &SendRequestError) -> Problem {
     match error {
-        SendRequestError::Connect(_) => NotRun {
-            reason: NotRunReason::Unreachable,
-            retry_after: RETRY_AFTER,
+        SendRequestError::Connect(_) => {
+            NotRun { reason: NotRunReason::Unreachable, retry_after: RETRY_AFTER }.into()
         }
-        .into(),
         _ => Problem::Failed(Failed::UnknownOutcome),
     }
 }
--- a/crates/tarragon_load/src/main.rs
+++ b/crates/tarragon_load/src/main.rs
@@ -55,9 +55,7 @@
                 let number = sent.replace(sent.get() + 1) as usize;
                 let begun = Instant::now();
                 if send(&client, &flags, number).await {
-                    latency
-                        .borrow_mut()
-                        .saturating_record(begun.elapsed().as_micros() as u64);
+                    latency.borrow_mut().saturating_record(begun.elapsed().as_micros() as u64);
                 } else {
                     failed.set(failed.get() + 1);
                 }
--- a/crates/tarragon_scheduler/src/engine.rs
+++ b/crates/tarragon_scheduler/src/engine.rs
@@ -76,9 +76,7 @@
 
 impl Drop for InUse {
     fn drop(&mut self) {
-        self.engine.do_send(Finished {
-            adapter: std::mem::take(&mut self.adapter),
-        });
+        self.engine.do_send(Finished { adapter: std::mem::take(&mut self.adapter) });
     }
 }
 
@@ -132,25 +130,20 @@
     fn refuse(&self, waiting: &Waiting, reason: NotRunReason, retry_after: Duration) {
         self.metrics.refusals.count(&reason.to_string());
         // A gateway that is gone needs no answer.
-        let _gone = waiting.events.try_send(WorkEvent::NotRun(NotRun {
-            reason,
-            retry_after,
-        }));
+        let _gone = waiting.events.try_send(WorkEvent::NotRun(NotRun { reason, retry_after }));
     }
 
     /// Refuses what has expired and starts what can run.
     fn pump(&mut self, ctx: &mut Context<Self>) {
         let now = self.clock.now();
-        let (kept, expired): (Vec<_>, Vec<_>) = std::mem::take(&mut self.waiting)
-            .into_iter()
-            .partition(|w| w.expires_at > now);
+        let (kept, expired): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.waiting).into_iter().partition(|w| w.expires_at > now);
         for waiting in &expired {
             self.refuse(waiting, NotRunReason::Deadline, LOAD_RETRY);
         }
         self.waiting = kept;
         self.waiting.retain(|w| !w.events.is_closed());
-        self.waiting
-            .sort_by_key(|w| (!w.order.urgent, w.expires_at));
+        self.waiting.sort_by_key(|w| (!w.order.urgent, w.expires_at));
         if self.boot_id.is_none() || !self.session.is_in_force() {
             return;
         }
@@ -184,8 +177,7 @@
     fn take_permit(&mut self, now: Duration) -> bool {
         let store = self.config.current().store_budget;
         let share = f64::from(store.loads_per_s) / self.session.live_sessions() as f64;
-        self.budget
-            .set_rate(share, f64::from(store.at_once).min(share.max(1.0)));
+        self.budget.set_rate(share, f64::from(store.at_once).min(share.max(1.0)));
         self.budget.try_take(now).is_ok()
     }
 
@@ -195,10 +187,7 @@
             return;
         }
         self.in_flight += 1;
-        let in_use = InUse {
-            adapter: waiting.order.model.clone(),
-            engine: ctx.address(),
-        };
+        let in_use = InUse { adapter: waiting.order.model.clone(), engine: ctx.address() };
         let run = Run {
             client: self.client.clone(),
             fence: self.fence,
@@ -222,10 +211,7 @@
         };
         ctx.spawn(order.into_actor(self).map(|(adapter, result), actor, ctx| {
             let loaded = result.is_ok();
-            actor
-                .metrics
-                .loads
-                .count(if loaded { "loaded" } else { "failed" });
+            actor.metrics.loads.count(if loaded { "loaded" } else { "failed" });
             actor.residency.finish_load(&adapter, loaded);
             if !loaded {
                 actor.refuse_adapter(&adapter);
@@ -325,11 +311,7 @@
 
     fn handle(&mut self, message: Submit, ctx: &mut Self::Context) {
         let expires_at = self.clock.now() + message.order.deadline;
-        self.waiting.push(Waiting {
-            order: message.order,
-            events: message.events,
-            expires_at,
-        });
+        self.waiting.push(Waiting { order: message.order, events: message.events, expires_at });
         self.pump(ctx);
     }
 }
@@ -406,27 +388,17 @@
             prompt: self.order.prompt.clone(),
             max_tokens: self.order.max_tokens,
             stream: true,
-            priority: if self.order.urgent {
-                0
-            } else {
-                DEFERRABLE_PRIORITY
-            },
+            priority: if self.order.urgent { 0 } else { DEFERRABLE_PRIORITY },
         };
         if self.events.send(WorkEvent::Dispatched).await.is_err() {
             return WorkEvent::Failed(Failed::UnknownOutcome);
         }
-        let started = self
-            .client
-            .complete(&completion, self.order.request_id, self.fence)
-            .await;
+        let started = self.client.complete(&completion, self.order.request_id, self.fence).await;
         let mut parts = match started {
             Ok(parts) => parts,
             Err(error) if error.is_not_run() => {
                 let reason = NotRunReason::RefusedByUpstream;
-                return WorkEvent::NotRun(NotRun {
-                    reason,
-                    retry_after: LOAD_RETRY,
-                });
+                return WorkEvent::NotRun(NotRun { reason, retry_after: LOAD_RETRY });
             }
             Err(rail_upstream::Error::Failed(_)) => {
                 return WorkEvent::Failed(Failed::UpstreamFailed);
@@ -436,21 +408,13 @@
         let mut expected = 0;
         while let Some(part) = parts.next().await {
             match part {
-                Ok(StreamPart::Token {
-                    offset,
-                    model,
-                    text,
-                }) if offset == expected => {
+                Ok(StreamPart::Token { offset, model, text }) if offset == expected => {
                     if model != self.order.model {
                         self.cancel().await;
                         return WorkEvent::Failed(Failed::WrongAdapter);
                     }
                     expected += 1;
-                    let token = WorkEvent::Token {
-                        offset,
-                        model,
-                        text,
-                    };
+                    let token = WorkEvent::Token { offset, model, text };
                     if self.events.send(token).await.is_err() {
                         self.cancel().await;
                         return WorkEvent::Failed(Failed::UnknownOutcome);
--- a/crates/tarragon_scheduler/src/http.rs
+++ b/crates/tarragon_scheduler/src/http.rs
@@ -12,10 +12,7 @@
     let server = HttpServer::new(move || {
         App::new()
             .app_data(web::Data::new(metrics.clone()))
-            .route(
-                "/healthz",
-                web::get().to(|| async { HttpResponse::Ok().body("ok") }),
-            )
+            .route("/healthz", web::get().to(|| async { HttpResponse::Ok().body("ok") }))
             .route("/metrics", web::get().to(render))
     })
     .workers(1)
@@ -27,7 +24,5 @@
 }
 
 async fn render(metrics: web::Data<Metrics>) -> HttpResponse {
-    HttpResponse::Ok()
-        .content_type("application/openmetrics-text")
-        .body(metrics.render())
+    HttpResponse::Ok().content_type("application/openmetrics-text").body(metrics.render())
 }
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -63,10 +63,7 @@
         gossip.clone(),
         counters.clone(),
     );
-    http::spawn(
-        SocketAddr::new(settings.ip, settings.metrics_port),
-        registry,
-    )?;
+    http::spawn(SocketAddr::new(settings.ip, settings.metrics_port), registry)?;
     serve::spawn(incoming, session.clone(), gossip.clone(), config, counters);
     log::info!("scheduler of {} listens on {address}", settings.host);
     stop.wait().await;
--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -22,11 +22,7 @@
     metrics: SchedulerMetrics,
 ) {
     actix_rt::spawn(async move {
-        while let Some(Incoming {
-            request,
-            mut replies,
-        }) = incoming.recv().await
-        {
+        while let Some(Incoming { request, mut replies }) = incoming.recv().await {
             match request {
                 PeerRequest::Heartbeats(heartbeats) => {
                     let known = gossip.take_in(heartbeats);
@@ -53,10 +49,8 @@
     metrics: &SchedulerMetrics,
 ) -> mpsc::Receiver<WorkEvent> {
     let (events, receiver) = mpsc::channel(EVENT_QUEUE);
-    let known = order
-        .model
-        .parse::<ModelName>()
-        .is_ok_and(|m| config.current().resolve(&m).is_ok());
+    let known =
+        order.model.parse::<ModelName>().is_ok_and(|m| config.current().resolve(&m).is_ok());
     let refusal = if !known {
         Some(NotRunReason::StaleConfiguration)
     } else if session.is_leaving() {
@@ -73,10 +67,7 @@
         (None, None) => NotRunReason::NotOwner,
     };
     metrics.refusals.count(&reason.to_string());
-    let refusal = WorkEvent::NotRun(NotRun {
-        reason,
-        retry_after: TRANSFER_RETRY,
-    });
+    let refusal = WorkEvent::NotRun(NotRun { reason, retry_after: TRANSFER_RETRY });
     // The receiver is at hand and its queue is empty.
     let _queued = events.try_send(refusal);
     receiver
--- a/crates/tarragon_scheduler/src/session.rs
+++ b/crates/tarragon_scheduler/src/session.rs
@@ -76,9 +76,7 @@
             gossip,
             metrics,
         };
-        let session = Self {
-            state: Rc::new(state),
-        };
+        let session = Self { state: Rc::new(state) };
         let renewals = session.clone();
         actix_rt::spawn(async move {
             loop {
@@ -98,10 +96,7 @@
 
     /// Reports whether orders may be given.
     pub fn is_in_force(&self) -> bool {
-        self.state
-            .holder
-            .borrow()
-            .is_in_force(self.state.clock.now())
+        self.state.holder.borrow().is_in_force(self.state.clock.now())
     }
 
     /// Reports whether the process takes no new work.
@@ -114,24 +109,15 @@
         if !self.is_in_force() {
             return None;
         }
-        self.state
-            .owned
-            .borrow()
-            .get(engine)
-            .map(|owned| owned.engine.clone())
+        self.state.owned.borrow().get(engine).map(|owned| owned.engine.clone())
     }
 
     /// Finishes all work, gives the engines back and ends the session.
     pub async fn leave(&self) {
         self.state.leaving.set(true);
         self.state.holder.borrow_mut().leave();
-        let engines: Vec<_> = self
-            .state
-            .owned
-            .borrow()
-            .values()
-            .map(|owned| owned.engine.clone())
-            .collect();
+        let engines: Vec<_> =
+            self.state.owned.borrow().values().map(|owned| owned.engine.clone()).collect();
         for engine in engines {
             // An engine that is gone has nothing to finish.
             let _drained = engine.send(Drain).await;
@@ -143,9 +129,7 @@
             let name = owner_name(&resource);
             let value = to_json(&record);
             let update =
-                self.state
-                    .platform
-                    .update(ObjectKind::Owner, &name, &value, &owned.version);
+                self.state.platform.update(ObjectKind::Owner, &name, &value, &owned.version);
             if let Err(error) = update.await {
                 log::warn!("{resource} could not be released: {error}");
             }
@@ -162,17 +146,10 @@
             HolderCommand::Create(record) => {
                 let name = session_name(record.session_id);
                 let value = to_json(&record);
-                let result = self
-                    .state
-                    .platform
-                    .create(ObjectKind::Session, &name, &value)
-                    .await;
+                let result = self.state.platform.create(ObjectKind::Session, &name, &value).await;
                 (record, result)
             }
-            HolderCommand::Renew {
-                record,
-                expected_version,
-            } => {
+            HolderCommand::Renew { record, expected_version } => {
                 let name = session_name(record.session_id);
                 let value = to_json(&record);
                 let update = self.state.platform.update(
@@ -258,17 +235,11 @@
             record.revoked = true;
             let name = session_name(record.session_id);
             let value = to_json(&record);
-            let update = self
-                .state
-                .platform
-                .update(ObjectKind::Session, &name, &value, &version);
+            let update = self.state.platform.update(ObjectKind::Session, &name, &value, &version);
             if let Ok(object) = update.await {
                 log::info!("session of {} revoked", record.host);
                 self.state.metrics.session_events.count("revoked_other");
-                self.state
-                    .observer
-                    .borrow_mut()
-                    .observe(record, object.version, now);
+                self.state.observer.borrow_mut().observe(record, object.version, now);
             }
         }
     }
@@ -277,13 +248,8 @@
         let me = self.state.holder.borrow().record().clone();
         let live: Vec<_> = self.state.observer.borrow().live().cloned().collect();
         let fleet = self.state.config.current();
-        let engines = fleet
-            .upstreams
-            .iter()
-            .filter(|(_, u)| u.kind == UpstreamKind::Engine);
-        let resources = engines
-            .map(|(name, u)| (name.clone(), u.zone.clone()))
-            .collect();
+        let engines = fleet.upstreams.iter().filter(|(_, u)| u.kind == UpstreamKind::Engine);
+        let resources = engines.map(|(name, u)| (name.clone(), u.zone.clone())).collect();
         let owners = self.stored_owners();
         for command in plan_ownership(&me, &live, &resources, &owners) {
             let platform = &self.state.platform;
@@ -291,19 +257,12 @@
             let result = match command {
                 OwnershipCommand::Create(record) => {
                     let name = owner_name(&record.resource);
-                    platform
-                        .create(ObjectKind::Owner, &name, &to_json(&record))
-                        .await
+                    platform.create(ObjectKind::Owner, &name, &to_json(&record)).await
                 }
-                OwnershipCommand::Take {
-                    record,
-                    expected_version,
-                } => {
+                OwnershipCommand::Take { record, expected_version } => {
                     let name = owner_name(&record.resource);
                     let value = to_json(&record);
-                    platform
-                        .update(ObjectKind::Owner, &name, &value, &expected_version)
-                        .await
+                    platform.update(ObjectKind::Owner, &name, &value, &expected_version).await
                 }
             };
             if let Err(error) = result {
--- a/crates/tarragon_standin/src/engine.rs
+++ b/crates/tarragon_standin/src/engine.rs
@@ -128,15 +128,18 @@
         inner.fence = 0;
         inner.down_until = Some(Instant::now() + Duration::from_millis(self.flags.restart_ms));
         for (_, run) in inner.runs.drain() {
-            run.progress
-                .send_modify(|p| p.ended = p.ended.or(Some(RunEnd::Broken)));
+            run.progress.send_modify(|p| p.ended = p.ended.or(Some(RunEnd::Broken)));
         }
     }
 
+    fn start_run(&self) {
+        let mut inner = self.lock();
+        inner.waiting -= 1;
+        inner.running += 1;
+    }
+
     fn is_down(&self) -> bool {
-        self.lock()
-            .down_until
-            .is_some_and(|until| Instant::now() < until)
+        self.lock().down_until.is_some_and(|until| Instant::now() < until)
     }
 
     /// Checks the fencing number of an order; gives the refusal, if any.
@@ -203,10 +206,7 @@
         return HttpResponse::InternalServerError().finish();
     }
     inner.stats.loads += 1;
-    inner
-        .loaded
-        .entry(order.into_inner().lora_name)
-        .or_insert(0);
+    inner.loaded.entry(order.into_inner().lora_name).or_insert(0);
     HttpResponse::Ok().finish()
 }
 
@@ -228,13 +228,8 @@
     inner.stats.evictions += 1;
     if in_use > 0 {
         inner.stats.evicted_in_use += 1;
-        for run in inner
-            .runs
-            .values()
-            .filter(|run| run.model == order.lora_name)
-        {
-            run.progress
-                .send_modify(|p| p.ended = p.ended.or(Some(RunEnd::Broken)));
+        for run in inner.runs.values().filter(|run| run.model == order.lora_name) {
+            run.progress.send_modify(|p| p.ended = p.ended.or(Some(RunEnd::Broken)));
         }
     }
     HttpResponse::Ok().finish()
@@ -258,10 +253,7 @@
     if let Some(refusal) = engine.check_fence(&request) {
         return refusal;
     }
-    let id = request
-        .headers()
-        .get("x-request-id")
-        .and_then(|v| v.to_str().ok());
+    let id = request.headers().get("x-request-id").and_then(|v| v.to_str().ok());
     let id = id.unwrap_or("none").to_owned();
     let run = {
         let mut inner = engine.lock();
@@ -275,10 +267,7 @@
         } else {
             completion.model.clone()
         };
-        let run = Arc::new(Run {
-            model: reported,
-            progress: watch::Sender::default(),
-        });
+        let run = Arc::new(Run { model: reported, progress: watch::Sender::default() });
         inner.runs.insert(id, Arc::clone(&run));
         run
     };
@@ -293,11 +282,7 @@
 async fn produce(engine: Data, completion: Completion, run: Arc<Run>) {
     engine.lock().waiting += 1;
     let permit = engine.batch.acquire().await;
-    {
-        let mut inner = engine.lock();
-        inner.waiting -= 1;
-        inner.running += 1;
-    }
+    engine.start_run();
     for _ in 0..completion.max_tokens {
         if run.progress.borrow().ended.is_some() {
             break;
@@ -313,48 +298,42 @@
     if let Some(in_use) = inner.loaded.get_mut(&completion.model) {
         *in_use = in_use.saturating_sub(1);
     }
-    run.progress
-        .send_modify(|p| p.ended = p.ended.or(Some(RunEnd::Complete)));
+    run.progress.send_modify(|p| p.ended = p.ended.or(Some(RunEnd::Complete)));
     drop(permit);
 }
 
 fn stream_run(run: &Arc<Run>, start: u64) -> HttpResponse {
     let receiver = run.progress.subscribe();
     let state = (receiver, run.model.clone(), start, false);
-    let events = stream::unfold(
-        state,
-        |(mut receiver, model, offset, finished)| async move {
-            if finished {
-                return None;
+    let events = stream::unfold(state, |(mut receiver, model, offset, finished)| async move {
+        if finished {
+            return None;
+        }
+        loop {
+            let progress = *receiver.borrow_and_update();
+            if offset < progress.produced {
+                let text = format!("{model}#{offset} ");
+                let chunk = serde_json::json!({"model": model, "choices": [{"text": text}]});
+                let event = Bytes::from(format!("id: {offset}\ndata: {chunk}\n\n"));
+                return Some((Ok(event), (receiver, model, offset + 1, false)));
             }
-            loop {
-                let progress = *receiver.borrow_and_update();
-                if offset < progress.produced {
-                    let text = format!("{model}#{offset} ");
-                    let chunk = serde_json::json!({"model": model, "choices": [{"text": text}]});
-                    let event = Bytes::from(format!("id: {offset}\ndata: {chunk}\n\n"));
-                    return Some((Ok(event), (receiver, model, offset + 1, false)));
+            match progress.ended {
+                Some(RunEnd::Complete) => {
+                    let event = Bytes::from_static(b"data: [DONE]\n\n");
+                    return Some((Ok(event), (receiver, model, offset, true)));
                 }
-                match progress.ended {
-                    Some(RunEnd::Complete) => {
-                        let event = Bytes::from_static(b"data: [DONE]\n\n");
-                        return Some((Ok(event), (receiver, model, offset, true)));
-                    }
-                    Some(RunEnd::Broken) => {
-                        let broken = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
-                        return Some((Err(broken), (receiver, model, offset, true)));
-                    }
-                    None => {}
-                }
-                if receiver.changed().await.is_err() {
-                    return None;
+                Some(RunEnd::Broken) => {
+                    let broken = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
+                    return Some((Err(broken), (receiver, model, offset, true)));
                 }
+                None => {}
             }
-        },
-    );
-    HttpResponse::Ok()
-        .content_type("text/event-stream")
-        .streaming(events)
+            if receiver.changed().await.is_err() {
+                return None;
+            }
+        }
+    });
+    HttpResponse::Ok().content_type("text/event-stream").streaming(events)
 }
 
 #[derive(Debug, Deserialize)]
@@ -380,8 +359,7 @@
     match inner.runs.get(id.as_str()).cloned() {
         Some(run) => {
             inner.stats.cancelled += 1;
-            run.progress
-                .send_modify(|p| p.ended = p.ended.or(Some(RunEnd::Broken)));
+            run.progress.send_modify(|p| p.ended = p.ended.or(Some(RunEnd::Broken)));
             HttpResponse::Ok().finish()
         }
         None => HttpResponse::NotFound().finish(),
@@ -419,10 +397,7 @@
     let listen = flags.listen;
     let inner = Inner {
         faults: Faults::default(),
-        stats: Stats {
-            boot_id: rand::rng().random(),
-            ..Stats::default()
-        },
+        stats: Stats { boot_id: rand::rng().random(), ..Stats::default() },
         loaded: BTreeMap::new(),
         runs: HashMap::new(),
         running: 0,
@@ -431,11 +406,7 @@
         down_until: None,
     };
     let batch = Semaphore::new(flags.batch);
-    let engine = web::Data::new(Engine {
-        flags,
-        batch,
-        inner: Mutex::new(inner),
-    });
+    let engine = web::Data::new(Engine { flags, batch, inner: Mutex::new(inner) });
     HttpServer::new(move || {
         App::new()
             .app_data(engine.clone())
--- a/crates/tarragon_standin/src/platform.rs
+++ b/crates/tarragon_standin/src/platform.rs
@@ -69,11 +69,7 @@
 
 impl Window {
     fn new(limit: u32) -> Self {
-        Self {
-            started: Instant::now(),
-            count: 0,
-            limit,
-        }
+        Self { started: Instant::now(), count: 0, limit }
     }
 
     fn admit(&mut self) -> bool {
@@ -132,11 +128,7 @@
             if !admitted {
                 inner.stats.throttled += 1;
             }
-            let write_delay_ms = if is_write {
-                inner.faults.write_delay_ms
-            } else {
-                0
-            };
+            let write_delay_ms = if is_write { inner.faults.write_delay_ms } else { 0 };
             (admitted, inner.faults.delay_ms + write_delay_ms)
         };
         if delay_ms > 0 {
@@ -189,11 +181,7 @@
     }
     let inner = data.lock();
     let selector = query.label_selector.as_deref();
-    let items: Vec<&Value> = inner
-        .objects
-        .values()
-        .filter(|o| matches(o, selector))
-        .collect();
+    let items: Vec<&Value> = inner.objects.values().filter(|o| matches(o, selector)).collect();
     HttpResponse::Ok()
         .json(json!({"metadata": {"resourceVersion": inner.version.to_string()}, "items": items}))
 }
@@ -210,13 +198,7 @@
         inner.stats.watches += 1;
         let newer = |o: &&Value| version_of(o) > since;
         let selector = query.label_selector.as_deref();
-        inner
-            .objects
-            .values()
-            .filter(newer)
-            .filter(|o| matches(o, selector))
-            .cloned()
-            .collect()
+        inner.objects.values().filter(newer).filter(|o| matches(o, selector)).cloned().collect()
     };
     let first = stream::iter(missed.into_iter().map(|o| line("MODIFIED", &o)));
     let state = (receiver, data, query, source);
@@ -241,21 +223,15 @@
     });
     HttpResponse::Ok()
         .content_type("application/json")
-        .streaming(first.chain(rest))
+        .streaming(first.chain(rest).map(Ok::<_, std::convert::Infallible>))
 }
 
-fn line(event: &str, object: &Value) -> Result<Bytes, std::io::Error> {
-    Ok(Bytes::from(format!(
-        "{}\n",
-        json!({"type": event, "object": object})
-    )))
+fn line(event: &str, object: &Value) -> Bytes {
+    Bytes::from(format!("{}\n", json!({"type": event, "object": object})))
 }
 
 fn version_of(object: &Value) -> u64 {
-    object["metadata"]["resourceVersion"]
-        .as_str()
-        .and_then(|v| v.parse().ok())
-        .unwrap_or(0)
+    object["metadata"]["resourceVersion"].as_str().and_then(|v| v.parse().ok()).unwrap_or(0)
 }
 
 async fn get(request: HttpRequest, name: web::Path<(String, String)>, data: Data) -> HttpResponse {
@@ -364,11 +340,7 @@
             .app_data(web::JsonConfig::default().limit(2 << 20))
             .route("/_faults", web::post().to(set_faults))
             .route("/_stats", web::get().to(stats))
-            .service(
-                web::resource(maps)
-                    .route(web::get().to(list))
-                    .route(web::post().to(create)),
-            )
+            .service(web::resource(maps).route(web::get().to(list)).route(web::post().to(create)))
             .service(
                 web::resource(format!("{maps}/{{name}}"))
                     .route(web::get().to(get))
--- a/crates/tarragon_standin/src/service.rs
+++ b/crates/tarragon_standin/src/service.rs
@@ -78,10 +78,7 @@
             body: body.clone(),
         });
         inner.running += 1;
-        (
-            service.call_ms + inner.faults.delay_ms,
-            inner.executions.len(),
-        )
+        (service.call_ms + inner.faults.delay_ms, inner.executions.len())
     };
     actix_rt::time::sleep(Duration::from_millis(time_ms)).await;
     let mut inner = service.lock();
@@ -108,10 +105,7 @@
 
 /// Serves until the process is stopped.
 pub async fn run(flags: Flags) -> std::io::Result<()> {
-    let service = web::Data::new(Service {
-        call_ms: flags.call_ms,
-        inner: Mutex::default(),
-    });
+    let service = web::Data::new(Service { call_ms: flags.call_ms, inner: Mutex::default() });
     HttpServer::new(move || {
         App::new()
             .app_data(service.clone())
--- a/crates/tarragon_standin/src/store.rs
+++ b/crates/tarragon_standin/src/store.rs
@@ -117,10 +117,7 @@
         in_flight: 0,
         next_free: Instant::now(),
     };
-    let store = web::Data::new(Store {
-        flags,
-        inner: Mutex::new(inner),
-    });
+    let store = web::Data::new(Store { flags, inner: Mutex::new(inner) });
     HttpServer::new(move || {
         App::new()
             .app_data(store.clone())
--- a/crates/tarragonctl/src/keys.rs
+++ b/crates/tarragonctl/src/keys.rs
@@ -10,10 +10,7 @@
 /// Writes `ca.pem` and, for each name, `NAME.pem` and `NAME.key`.
 pub fn make_keys(command: &KeysCommand) -> Result<()> {
     let out = Path::new(&command.out);
-    fs::create_dir_all(out).map_err(|source| Error::Write {
-        path: command.out.clone(),
-        source,
-    })?;
+    fs::create_dir_all(out).map_err(|source| Error::Write { path: command.out.clone(), source })?;
     let authority = Authority::generate()?;
     for name in &command.names {
         let keys = authority.issue(name)?;
@@ -25,15 +22,8 @@
 }
 
 fn write(path: &Path, text: &str) -> Result<()> {
-    let open = fs::OpenOptions::new()
-        .write(true)
-        .create(true)
-        .truncate(true)
-        .mode(0o600)
-        .open(path);
+    let open =
+        fs::OpenOptions::new().write(true).create(true).truncate(true).mode(0o600).open(path);
     open.and_then(|mut file| std::io::Write::write_all(&mut file, text.as_bytes()))
-        .map_err(|source| Error::Write {
-            path: path.display().to_string(),
-            source,
-        })
+        .map_err(|source| Error::Write { path: path.display().to_string(), source })
 }
--- a/crates/tarragonctl/src/main.rs
+++ b/crates/tarragonctl/src/main.rs
@@ -26,20 +26,8 @@
         println!("{}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    let Flags {
-        admin,
-        ca,
-        cert,
-        key,
-        command,
-        ..
-    } = flags;
-    let connection = flags::Connection {
-        admin,
-        ca,
-        cert,
-        key,
-    };
+    let Flags { admin, ca, cert, key, command, .. } = flags;
+    let connection = flags::Connection { admin, ca, cert, key };
     match command {
         Some(flags::Command::Keys(command)) => keys::make_keys(&command),
         Some(command) => rpc::call(connection, command).await,
--- a/crates/tarragonctl/src/rpc.rs
+++ b/crates/tarragonctl/src/rpc.rs
@@ -27,11 +27,7 @@
         Command::Base(c) => {
             let urgency_default = parse_urgency(&c.urgency)?.into();
             let expected = expected(c.expect);
-            let request = api::RegisterBaseRequest {
-                base: c.base,
-                urgency_default,
-                expected,
-            };
+            let request = api::RegisterBaseRequest { base: c.base, urgency_default, expected };
             client.register_base(request).await?
         }
         Command::Adapter(c) => client.apply(adapter_request(c)?).await?,
@@ -39,20 +35,12 @@
         Command::Urgency(c) => {
             let urgency = parse_urgency(&c.urgency)?.into();
             let expected = expected(c.expect);
-            let request = api::SetUrgencyDefaultRequest {
-                base: c.base,
-                urgency,
-                expected,
-            };
+            let request = api::SetUrgencyDefaultRequest { base: c.base, urgency, expected };
             client.set_urgency_default(request).await?
         }
         Command::Drain(c) => {
             let expected = expected(c.expect);
-            let request = api::DrainUpstreamRequest {
-                name: c.name,
-                leaving: !c.undo,
-                expected,
-            };
+            let request = api::DrainUpstreamRequest { name: c.name, leaving: !c.undo, expected };
             client.drain_upstream(request).await?
         }
         Command::List(_) => return list(&mut client).await,
@@ -65,8 +53,7 @@
 
 async fn connect(connection: Connection) -> Result<Client> {
     let value = |flag: Option<String>, name: &'static str, variable: &str| {
-        flag.or_else(|| std::env::var(variable).ok())
-            .ok_or(Error::Missing(name))
+        flag.or_else(|| std::env::var(variable).ok()).ok_or(Error::Missing(name))
     };
     let admin = value(connection.admin, "admin", "TARRAGON_ADMIN")?;
     let keys = Keys::open(
@@ -78,16 +65,9 @@
         .ca_certificate(Certificate::from_pem(&keys.ca_pem))
         .identity(Identity::from_pem(&keys.cert_pem, &keys.key_pem))
         .domain_name(FLEET_SERVER_NAME);
-    let invalid = |_error| Error::Invalid {
-        flag: "admin",
-        value: admin.clone(),
-    };
+    let invalid = |_error| Error::Invalid { flag: "admin", value: admin.clone() };
     let endpoint = Endpoint::from_shared(format!("https://{admin}")).map_err(invalid)?;
-    let channel = endpoint
-        .tls_config(tls)?
-        .timeout(CALL_TIMEOUT)
-        .connect()
-        .await?;
+    let channel = endpoint.tls_config(tls)?.timeout(CALL_TIMEOUT).connect().await?;
     Ok(OperatorClient::new(channel))
 }
 
@@ -99,10 +79,7 @@
     match value {
         "urgent" => Ok(api::Urgency::Urgent),
         "deferrable" => Ok(api::Urgency::Deferrable),
-        _ => Err(Error::Invalid {
-            flag: "urgency",
-            value: value.to_owned(),
-        }),
+        _ => Err(Error::Invalid { flag: "urgency", value: value.to_owned() }),
     }
 }
 
@@ -124,14 +101,8 @@
             expected: None,
         }));
     }
-    let changes = changes
-        .into_iter()
-        .map(|c| api::Change { change: Some(c) })
-        .collect();
-    Ok(api::ApplyRequest {
-        changes,
-        expected: expected(command.expect),
-    })
+    let changes = changes.into_iter().map(|c| api::Change { change: Some(c) }).collect();
+    Ok(api::ApplyRequest { changes, expected: expected(command.expect) })
 }
 
 fn upstream_request(command: UpstreamCommand) -> Result<api::RegisterUpstreamRequest> {
@@ -139,10 +110,7 @@
         "engine" => api::UpstreamKind::Engine,
         "service" => api::UpstreamKind::Service,
         _ => {
-            return Err(Error::Invalid {
-                flag: "kind",
-                value: command.kind,
-            });
+            return Err(Error::Invalid { flag: "kind", value: command.kind });
         }
     };
     let upstream = api::Upstream {
@@ -157,41 +125,22 @@
         leaving: false,
     };
     let expected = expected(command.expect);
-    Ok(api::RegisterUpstreamRequest {
-        upstream: Some(upstream),
-        expected,
-    })
+    Ok(api::RegisterUpstreamRequest { upstream: Some(upstream), expected })
 }
 
 async fn list(client: &mut Client) -> Result<()> {
     let reply = client.list(api::ListRequest {}).await?.into_inner();
     println!("generation {}", reply.generation);
     for base in &reply.bases {
-        println!(
-            "base {} {}",
-            base.base,
-            base.urgency_default().as_str_name()
-        );
+        println!("base {} {}", base.base, base.urgency_default().as_str_name());
     }
     for adapter in &reply.adapters {
-        let versions: Vec<&str> = adapter
-            .versions
-            .iter()
-            .map(|v| v.version.as_str())
-            .collect();
-        println!(
-            "adapter {}:{} {}",
-            adapter.base,
-            adapter.adapter,
-            versions.join(" ")
-        );
+        let versions: Vec<&str> = adapter.versions.iter().map(|v| v.version.as_str()).collect();
+        println!("adapter {}:{} {}", adapter.base, adapter.adapter, versions.join(" "));
     }
     for upstream in &reply.upstreams {
         let state = if upstream.leaving { "leaving" } else { "live" };
-        println!(
-            "upstream {} {} {} {state}",
-            upstream.name, upstream.group, upstream.address
-        );
+        println!("upstream {} {} {} {state}", upstream.name, upstream.group, upstream.address);
     }
     Ok(())
 }
@@ -229,15 +178,9 @@
         return;
     }
     println!("generation {}", reply.accepted_generation);
-    println!(
-        "{:<12} {:<10} {:>10} {:>8} engines",
-        "host", "role", "generation", "age_ms"
-    );
+    println!("{:<12} {:<10} {:>10} {:>8} engines", "host", "role", "generation", "age_ms");
     for p in &reply.processes {
         let engines = p.owned_engines.join(" ");
-        println!(
-            "{:<12} {:<10} {:>10} {:>8} {engines}",
-            p.host, p.role, p.generation, p.age_ms
-        );
+        println!("{:<12} {:<10} {:>10} {:>8} {engines}", p.host, p.role, p.generation, p.age_ms);
     }
 }
