Send small frames at once: TCP_NODELAY on every HTTP listener

Cause: a completion of one token took 44 ms straight from the engine stand-in but 7 ms through the whole path: the listener's last chunk waited for the client's delayed acknowledgement. Ruled out: the load tool (its histogram was at fault as well: it saturated at 2 us, now bounded at 60 s). Change: tcp_nodelay on gateway, scheduler and stand-in listeners.

--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -138,6 +138,7 @@
             .configure(caller::routes)
     })
     .workers(1)
+    .tcp_nodelay(true)
     .client_request_timeout(HEAD_TIMEOUT)
     .shutdown_timeout(STOP_TIMEOUT_S)
     .disable_signals()
--- a/crates/tarragon_load/src/main.rs
+++ b/crates/tarragon_load/src/main.rs
@@ -42,7 +42,7 @@
 #[actix_rt::main]
 async fn main() -> Result<(), Error> {
     let flags = Rc::new(Flags::parse_args_default_or_exit());
-    let latency = Rc::new(RefCell::new(Histogram::<u64>::new(3)?));
+    let latency = Rc::new(RefCell::new(Histogram::<u64>::new_with_bounds(1, 60_000_000, 3)?));
     let sent = Rc::new(Cell::new(0_u64));
     let failed = Rc::new(Cell::new(0_u64));
     let started = Instant::now();
--- a/crates/tarragon_scheduler/src/http.rs
+++ b/crates/tarragon_scheduler/src/http.rs
@@ -16,6 +16,7 @@
             .route("/metrics", web::get().to(render))
     })
     .workers(1)
+    .tcp_nodelay(true)
     .disable_signals()
     .bind(address)?
     .run();
--- a/crates/tarragon_standin/src/engine.rs
+++ b/crates/tarragon_standin/src/engine.rs
@@ -420,6 +420,7 @@
             .route("/v1/responses/{id}/cancel", web::post().to(cancel))
     })
     .workers(1)
+    .tcp_nodelay(true)
     .shutdown_timeout(0)
     .bind(listen)?
     .run()
--- a/crates/tarragon_standin/src/platform.rs
+++ b/crates/tarragon_standin/src/platform.rs
@@ -349,6 +349,7 @@
             )
     })
     .workers(1)
+    .tcp_nodelay(true)
     .shutdown_timeout(0)
     .bind(flags.listen)?
     .run()
--- a/crates/tarragon_standin/src/service.rs
+++ b/crates/tarragon_standin/src/service.rs
@@ -115,6 +115,7 @@
             .default_service(web::to(call))
     })
     .workers(1)
+    .tcp_nodelay(true)
     .shutdown_timeout(0)
     .bind(flags.listen)?
     .run()
--- a/crates/tarragon_standin/src/store.rs
+++ b/crates/tarragon_standin/src/store.rs
@@ -126,6 +126,7 @@
             .route("/adapters/{name}", web::get().to(load))
     })
     .workers(1)
+    .tcp_nodelay(true)
     .shutdown_timeout(0)
     .bind(listen)?
     .run()
