Platform client: call budget, jittered backoff, settlement of lost replies

Cause: calls were counted but not bounded, a watch counted once however long it waited, and each caller settled lost replies by its own rules. Reading back alone is not enough: a delayed write may land after the read. Settlement repeats the write with the same expected version, so that at most one copy takes effect. Change: CallBudget (token bucket, an open watch takes one call a second), Backoff, Settlement (pure) and PlatformClient::write_settled; counters by kind and reason; watches back off with jitter.

--- a/crates/rail_platform/src/client.rs
+++ b/crates/rail_platform/src/client.rs
@@ -1,6 +1,7 @@
 //! Single calls to the platform.
 
 use crate::{
+    budget::{BURST_CALLS, CALLS_PER_S, CallBudget},
     error::{Error, Result},
     object::{ConfigMap, ConfigMapList, KIND_LABEL, Object, ObjectKind, ObjectVersion},
 };
@@ -9,11 +10,13 @@
     error::SendRequestError,
     http::{Method, StatusCode},
 };
+use prometheus_client::metrics::gauge::Gauge;
+use rail_runtime::{Metrics, metrics::Reasons};
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     net::{IpAddr, SocketAddr},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Time in which the platform must answer a call.
@@ -29,6 +32,27 @@
     http: Client,
     objects_url: String,
     calls: Rc<Cell<u64>>,
+    budget: Rc<RefCell<CallBudget>>,
+    started_at: Instant,
+    counters: Option<Counters>,
+}
+
+#[derive(Clone)]
+struct Counters {
+    calls: Reasons,
+    failures: Reasons,
+    open_watches: Gauge,
+}
+
+/// Counts a watch as open until dropped.
+pub(crate) struct OpenWatch(PlatformClient);
+
+impl Drop for OpenWatch {
+    fn drop(&mut self) {
+        let now = self.0.now();
+        self.0.budget.borrow_mut().close_watch(now);
+        self.0.show_watches();
+    }
 }
 
 impl std::fmt::Debug for PlatformClient {
@@ -47,7 +71,30 @@
             .timeout(CALL_TIMEOUT)
             .finish();
         let objects_url = format!("http://{platform}/api/v1/namespaces/{NAMESPACE}/configmaps");
-        Self { http, objects_url, calls: Rc::new(Cell::new(0)) }
+        let budget = CallBudget::new(CALLS_PER_S, BURST_CALLS, Duration::ZERO);
+        Self {
+            http,
+            objects_url,
+            calls: Rc::default(),
+            budget: Rc::new(RefCell::new(budget)),
+            started_at: Instant::now(),
+            counters: None,
+        }
+    }
+
+    /// Exposes calls, failures by reason and open watches.
+    pub fn with_metrics(mut self, metrics: &Metrics) -> Self {
+        self.counters = Some(Counters {
+            calls: metrics.reasons("platform_calls", "Calls to the platform by kind"),
+            failures: metrics.reasons("platform_failures", "Failed calls to the platform"),
+            open_watches: metrics.gauge("platform_open_watches", "Watches that wait"),
+        });
+        self
+    }
+
+    /// Counts the watches that are open.
+    pub fn open_watches(&self) -> u32 {
+        self.budget.borrow().open_watches()
     }
 
     /// Counts the calls made so far, watches included.
@@ -121,13 +168,19 @@
         &self,
         kind: ObjectKind,
         since: &str,
-    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>> {
+    ) -> Result<(
+        ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>,
+        OpenWatch,
+    )> {
         let url = format!(
             "{}?{}&watch=true&allowWatchBookmarks=true&resourceVersion={since}",
             self.objects_url,
             selector(kind)
         );
-        self.send(Method::GET, &url, None).await
+        let reply = self.send(Method::GET, &url, None).await?;
+        self.budget.borrow_mut().open_watch(self.now());
+        self.show_watches();
+        Ok((reply, OpenWatch(self.clone())))
     }
 
     async fn send(
@@ -136,7 +189,49 @@
         url: &str,
         body: Option<&ConfigMap>,
     ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>> {
+        self.wait_for_budget().await;
         self.calls.set(self.calls.get() + 1);
+        self.count(method.as_str());
+        let result = self.send_now(method, url, body).await;
+        if let (Err(error), Some(counters)) = (&result, &self.counters) {
+            counters.failures.count(error.reason());
+        }
+        result
+    }
+
+    async fn wait_for_budget(&self) {
+        loop {
+            let taken = self.budget.borrow_mut().try_take(self.now());
+            let Err(pause) = taken else {
+                return;
+            };
+            self.count("over_budget");
+            actix_rt::time::sleep(pause).await;
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
+    fn count(&self, kind: &str) {
+        if let Some(counters) = &self.counters {
+            counters.calls.count(kind);
+        }
+    }
+
+    fn show_watches(&self) {
+        if let Some(counters) = &self.counters {
+            counters.open_watches.set(i64::from(self.open_watches()));
+        }
+    }
+
+    async fn send_now(
+        &self,
+        method: Method,
+        url: &str,
+        body: Option<&ConfigMap>,
+    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>> {
         let request = self.http.request(method, url);
         let sent = match body {
             Some(body) => request.send_json(body).await,
--- a/crates/rail_platform/src/lib.rs
+++ b/crates/rail_platform/src/lib.rs
@@ -3,22 +3,29 @@
 //! The platform is met through the published Kubernetes API: objects are
 //! `ConfigMap`s with one value, hosts are `EndpointSlice`s. [`PlatformClient`]
 //! makes single calls; [`WatchCache`] keeps a copy of all objects of one
-//! [`ObjectKind`]. A write whose reply is lost is settled by the caller, who
-//! reads the object back ([`Error::is_effect_unknown`]).
+//! [`ObjectKind`] and lists again after a gap. All calls draw on one
+//! [`CallBudget`]. [`PlatformClient::write_settled`] repeats and reads back a
+//! conditional write until its outcome is known; [`Settlement`] decides how.
 
+pub mod backoff;
+pub mod budget;
 pub mod client;
 pub mod config;
 pub mod error;
 pub mod object;
+pub mod settle;
 pub mod watch;
 
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
+        backoff::Backoff,
+        budget::CallBudget,
         client::PlatformClient,
         config::ConfigFollower,
         error::{Error, Result},
         object::{Object, ObjectKind, ObjectVersion},
+        settle::{Settled, Settlement, Write},
         watch::WatchCache,
     };
 }
--- a/crates/rail_platform/src/watch.rs
+++ b/crates/rail_platform/src/watch.rs
@@ -1,12 +1,12 @@
 //! A local copy of all objects of one kind, kept current by a watch.
 
 use crate::{
+    backoff::Backoff,
     client::PlatformClient,
     error::{Error, Result},
     object::{Object, ObjectKind, ObjectName, WatchEvent, WatchEventType},
 };
 use futures_util::{StreamExt, TryStreamExt};
-use rand::Rng;
 use std::{
     cell::RefCell,
     collections::BTreeMap,
@@ -23,8 +23,6 @@
 const MAX_LINE_BYTES: usize = 8 << 20;
 /// Time without any event or bookmark after which a watch is opened again.
 const WATCH_SILENCE: Duration = Duration::from_secs(3);
-/// Pause before a failed watch is opened again; up to twice as long with jitter.
-const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 #[derive(Debug, Default)]
 struct Copy {
@@ -46,12 +44,13 @@
             Self { copy: Rc::new(RefCell::new(Copy::default())), changes: watch::Sender::new(0) };
         let task = cache.clone();
         actix_rt::spawn(async move {
+            let mut backoff = Backoff::default();
             loop {
-                if let Err(error) = task.follow(&client, kind).await {
+                if let Err(error) = task.follow(&client, kind, &mut backoff).await {
                     log::debug!("watch of {} ended: {error}", kind.label());
                 }
-                let jitter = rand::rng().random_range(1.0..2.0);
-                actix_rt::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
+                let pause = backoff.next_pause(&mut rand::rng());
+                actix_rt::time::sleep(pause).await;
             }
         });
         cache
@@ -77,11 +76,17 @@
         self.changes.subscribe()
     }
 
-    async fn follow(&self, client: &PlatformClient, kind: ObjectKind) -> Result<()> {
+    /// Lists, then watches until an event is missed or the platform is silent.
+    async fn follow(
+        &self,
+        client: &PlatformClient,
+        kind: ObjectKind,
+        backoff: &mut Backoff,
+    ) -> Result<()> {
         let (objects, version) = client.list(kind).await?;
         self.replace(objects);
-        let reply = client.open_watch(kind, &version).await?.timeout(Duration::MAX / 4);
-        let bytes = reply.map_err(std::io::Error::other);
+        let (reply, _open) = client.open_watch(kind, &version).await?;
+        let bytes = reply.timeout(Duration::MAX / 4).map_err(std::io::Error::other);
         let codec = LinesCodec::new_with_max_length(MAX_LINE_BYTES);
         let mut lines = FramedRead::new(StreamReader::new(bytes), codec);
         loop {
@@ -92,6 +97,7 @@
             let Ok(event) = serde_json::from_str::<WatchEvent>(&line) else {
                 return Err(Error::Unreadable);
             };
+            backoff.reset();
             self.take_in(event);
         }
     }
