--- a/crates/rail_config/src/segment.rs
+++ b/crates/rail_config/src/segment.rs
@@ -10,6 +10,9 @@
 /// Number of segments that hold adapters.
 pub const ADAPTER_SEGMENTS: u64 = 64;
 
+/// Acceptances that a head remembers.
+const MAX_PREVIOUS_NONCES: usize = 64;
+
 /// Result of joining segments.
 pub type Result<T> = std::result::Result<T, SegmentError>;
 
@@ -30,6 +33,31 @@
     pub segments: Vec<String>,
     /// Random number of the acceptance, by which a lost reply is settled.
     pub nonce: u64,
+    /// Random numbers of the acceptances before it, newest first.
+    #[serde(default)]
+    pub previous_nonces: Vec<u64>,
+}
+
+impl Head {
+    /// Links a head to the one that it replaces.
+    pub fn follow(&mut self, replaced: &Self) {
+        let before = replaced.previous_nonces.iter().copied();
+        self.previous_nonces =
+            std::iter::once(replaced.nonce).chain(before).take(MAX_PREVIOUS_NONCES).collect();
+    }
+
+    /// Tells whether an acceptance came before this head or is it; unknown when too long ago.
+    pub fn includes(&self, generation: Generation, nonce: u64) -> Option<bool> {
+        let Some(age) = self.generation.checked_sub(generation) else {
+            return Some(false);
+        };
+        let accepted = if age == 0 {
+            Some(self.nonce)
+        } else {
+            self.previous_nonces.get(age as usize - 1).copied()
+        };
+        accepted.map(|accepted| accepted == nonce)
+    }
 }
 
 /// Part of a generation, stored under a name made from its content.
@@ -80,7 +108,8 @@
             stored.push(store(&Segment::Adapters(part))?);
         }
         let segments = stored.iter().map(|s| s.name.clone()).collect();
-        Ok((Head { generation: self.generation, segments, nonce }, stored))
+        let head = Head { generation: self.generation, segments, nonce, ..Head::default() };
+        Ok((head, stored))
     }
 
     /// Joins the segments of a head.
@@ -116,5 +145,10 @@
 
 fn store(segment: &Segment) -> Result<StoredSegment> {
     let text = serde_json::to_string(segment)?;
-    Ok(StoredSegment { name: format!("segment-{:032x}", xxh3_128(text.as_bytes())), text })
+    Ok(StoredSegment { name: segment_name(&text), text })
+}
+
+/// Names a segment by its content.
+pub fn segment_name(text: &str) -> String {
+    format!("segment-{:032x}", xxh3_128(text.as_bytes()))
 }
--- a/crates/rail_member/src/heartbeat.rs
+++ b/crates/rail_member/src/heartbeat.rs
@@ -1,7 +1,10 @@
 //! What a process tells its peers at each interval.
 
 use serde::{Deserialize, Serialize};
-use std::time::SystemTime;
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::{Duration, SystemTime},
+};
 
 /// Which daemon a process runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -46,6 +49,14 @@
     pub owned: Vec<String>,
     /// Requests in progress.
     pub in_flight: u32,
+    /// Address that the process serves on.
+    pub address: Option<SocketAddr>,
+    /// Time since the generation was known to be the newest, when the heartbeat was made.
+    pub confirmed_age: Option<Duration>,
+    /// Whether the process knew the platform and can't reach it any more.
+    pub sees_outage: bool,
+    /// Addresses of upstreams that the platform's host list shows as leaving.
+    pub leaving_upstreams: Vec<IpAddr>,
 }
 
 impl Heartbeat {
@@ -65,6 +76,10 @@
             leaving: false,
             owned: Vec::new(),
             in_flight: 0,
+            address: None,
+            confirmed_age: None,
+            sees_outage: false,
+            leaving_upstreams: Vec::new(),
         }
     }
 }
--- a/crates/rail_member/src/lib.rs
+++ b/crates/rail_member/src/lib.rs
@@ -2,14 +2,20 @@
 //!
 //! [`Members`] keeps the newest [`Heartbeat`] of each process. A greater
 //! incarnation replaces a smaller one, and a leaving mark is never taken back
-//! within one incarnation.
+//! within one incarnation. [`Freshness`] decides whether the configuration in
+//! force is current enough for new work, and [`list_entry_hosts`] which hosts
+//! callers should use.
 
+pub mod entry;
+pub mod freshness;
 pub mod heartbeat;
 pub mod members;
 
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
+        entry::{EntryHost, list_entry_hosts},
+        freshness::{Freshness, PeerReport, Verdict},
         heartbeat::{Heartbeat, Role},
         members::{Member, Members},
     };
--- a/crates/rail_peer/src/gossip.rs
+++ b/crates/rail_peer/src/gossip.rs
@@ -4,16 +4,20 @@
     client::PeerClient,
     message::{PeerReply, PeerRequest},
 };
-use rail_member::{Heartbeat, Members};
+use rail_member::{Freshness, Heartbeat, Members, PeerReport, Role, Verdict};
 use rail_runtime::MonotonicClock;
 use std::{
-    net::SocketAddr,
+    collections::BTreeSet,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
+use tokio::sync::Notify;
 
 /// Heartbeats older than this are not passed on.
 const MAX_RELAYED_AGE: Duration = Duration::from_secs(10);
+/// Time in which a peer must reply.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Table of known processes; clones share it.
 #[derive(Debug, Clone)]
@@ -21,39 +25,114 @@
     clock: MonotonicClock,
     own: Arc<Mutex<Heartbeat>>,
     members: Arc<Mutex<Members>>,
-    peers: Arc<Mutex<Vec<SocketAddr>>>,
+    peers: Arc<Mutex<Peers>>,
+    freshness: Arc<Mutex<Freshness>>,
+    changed: Arc<Notify>,
+}
+
+#[derive(Debug, Default)]
+struct Peers {
+    /// Peers to ask before the platform or a peer names others.
+    seeds: Vec<SocketAddr>,
+    /// Peers that the platform names.
+    named: Vec<SocketAddr>,
 }
 
 impl Gossip {
     /// Starts exchanging this heartbeat with peers at each interval.
     pub fn spawn(client: PeerClient, own: Heartbeat, interval: Duration) -> Self {
+        let own_ip = own.address.map_or(IpAddr::from([0, 0, 0, 0]), |address| address.ip());
         let gossip = Self {
             clock: MonotonicClock::start(),
             own: Arc::new(Mutex::new(own)),
             members: Arc::default(),
             peers: Arc::default(),
+            freshness: Arc::new(Mutex::new(Freshness::new(own_ip))),
+            changed: Arc::default(),
         };
         let task = gossip.clone();
         tokio::spawn(async move {
             loop {
-                let peers = lock(&task.peers).clone();
-                for peer in peers {
+                for peer in task.peers() {
                     tokio::spawn(exchange(task.clone(), client.clone(), peer));
                 }
-                tokio::time::sleep(interval).await;
+                // A changed leaving mark goes out at once.
+                let _changed = tokio::time::timeout(interval, task.changed.notified()).await;
             }
         });
         gossip
     }
 
-    /// Sets the addresses of the peers to exchange with.
+    /// Sets the peers to ask before the platform or a peer names others.
+    pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
+        lock(&self.peers).seeds = seeds;
+    }
+
+    /// Sets the addresses of the peers that the platform names.
     pub fn set_peers(&self, peers: Vec<SocketAddr>) {
-        *lock(&self.peers) = peers;
+        lock(&self.peers).named = peers;
+    }
+
+    /// Lists the peers to exchange with: seeds, those named, and schedulers heard of.
+    pub fn peers(&self) -> BTreeSet<SocketAddr> {
+        let now = self.clock.now();
+        let members = lock(&self.members);
+        let heard = members.fresh(now, MAX_RELAYED_AGE).map(|member| &member.heartbeat);
+        let schedulers = heard.filter(|h| h.role == Role::Scheduler && !h.leaving);
+        let peers = lock(&self.peers);
+        let known = peers.seeds.iter().chain(&peers.named).copied();
+        let all: BTreeSet<_> = known.chain(schedulers.filter_map(|h| h.address)).collect();
+        let own = lock(&self.own).address;
+        all.into_iter().filter(|peer| Some(*peer) != own).collect()
     }
 
-    /// Changes the own heartbeat from the next exchange on.
+    /// Changes the own heartbeat from the next exchange on, which starts at once for leaving marks.
     pub fn update_own(&self, change: impl FnOnce(&mut Heartbeat)) {
-        change(&mut lock(&self.own));
+        let mut own = lock(&self.own);
+        let before = (own.leaving, own.leaving_upstreams.clone());
+        change(&mut own);
+        if (own.leaving, &own.leaving_upstreams) != (before.0, &before.1) {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Takes what this process knows of the configuration: the generation in force, and the
+    /// newest that the platform showed with the time since then.
+    pub fn observe_config(&self, in_force: u64, newest: u64, platform_age: Option<Duration>) {
+        let now = self.clock.now();
+        let peers = self.peers();
+        let mut freshness = lock(&self.freshness);
+        freshness.set_hosts(peers.iter().map(SocketAddr::ip));
+        freshness.apply(in_force);
+        if let Some(at) = platform_age.and_then(|age| now.checked_sub(age)) {
+            freshness.confirm_by_platform(newest, at);
+        }
+    }
+
+    /// Decides whether new work may be taken under the configuration in force.
+    pub fn verdict(&self) -> Verdict {
+        lock(&self.freshness).verdict(self.clock.now())
+    }
+
+    /// Finds peers that have a greater generation than the one in force here.
+    pub fn peers_ahead(&self) -> Vec<SocketAddr> {
+        let in_force = lock(&self.own).generation;
+        let members = self.members();
+        let ahead = members
+            .iter()
+            .filter(|(h, _)| h.role == Role::Scheduler && h.generation > in_force && !h.leaving);
+        ahead.filter_map(|(h, _)| h.address).collect()
+    }
+
+    /// Reports whether this process or a peer has heard of a greater generation.
+    pub fn is_behind(&self) -> bool {
+        lock(&self.freshness).missing().is_some()
+    }
+
+    /// Lists upstreams that this process or a peer heard of lately sees as leaving.
+    pub fn leaving_upstreams(&self) -> BTreeSet<IpAddr> {
+        let members = self.members().into_iter().filter(|(_, age)| *age <= MAX_RELAYED_AGE);
+        members.flat_map(|(heartbeat, _)| heartbeat.leaving_upstreams).collect()
     }
 
     /// Takes in heartbeats of a peer and gives those known here.
@@ -83,19 +162,44 @@
     }
 
     fn next_own(&self) -> Heartbeat {
+        let now = self.clock.now();
+        let freshness = lock(&self.freshness);
+        let (confirmed_age, sees_outage) =
+            (freshness.confirmed_age(now), freshness.sees_outage(now));
+        drop(freshness);
         let mut own = lock(&self.own);
         own.sequence += 1;
+        own.confirmed_age = confirmed_age;
+        own.sees_outage = sees_outage;
         own.clone()
     }
+
+    /// Takes the reply of a peer that was asked at this time.
+    fn take_reply(&self, peer: SocketAddr, known: Vec<Heartbeat>, asked_at: Duration) {
+        // Only the peer's own heartbeat was made after it was asked.
+        let own = known.iter().rev().find(|heartbeat| heartbeat.address == Some(peer));
+        if let Some(heartbeat) = own {
+            let report = PeerReport {
+                host: peer.ip(),
+                generation: heartbeat.generation,
+                confirmed_age: heartbeat.confirmed_age,
+                sees_outage: heartbeat.sees_outage,
+            };
+            lock(&self.freshness).take_report(&report, asked_at);
+        }
+        self.take_in(known);
+    }
 }
 
 async fn exchange(gossip: Gossip, client: PeerClient, peer: SocketAddr) {
+    let asked_at = gossip.clock.now();
     let request = PeerRequest::Heartbeats(vec![gossip.next_own()]);
     let Ok(mut replies) = client.call(peer, &request).await else {
         return;
     };
-    if let Ok(Some(PeerReply::Heartbeats(known))) = replies.next().await {
-        gossip.take_in(known);
+    let reply = tokio::time::timeout(REPLY_TIMEOUT, replies.next()).await;
+    if let Ok(Ok(Some(PeerReply::Heartbeats(known)))) = reply {
+        gossip.take_reply(peer, known, asked_at);
     }
 }
 
--- a/crates/rail_peer/src/lib.rs
+++ b/crates/rail_peer/src/lib.rs
@@ -6,6 +6,7 @@
 //! nobody waits any more.
 
 pub mod client;
+pub mod configuration;
 pub mod error;
 mod frame;
 pub mod gossip;
@@ -16,6 +17,7 @@
 pub mod prelude {
     pub use crate::{
         client::{PeerClient, ReplyStream},
+        configuration::{follow_configuration, follow_sessions, send_configuration},
         error::{Error, Result},
         gossip::Gossip,
         message::{PeerReply, PeerRequest},
--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -11,6 +11,13 @@
     Heartbeats(Vec<Heartbeat>),
     /// Run a request on an engine that the receiver owns.
     Work(WorkOrder),
+    /// Send the configuration in force if it is greater.
+    Configuration {
+        /// Generation in force at the sender.
+        above: u64,
+        /// Segments that the sender has.
+        known_segments: Vec<String>,
+    },
 }
 
 /// What comes back.
@@ -20,4 +27,13 @@
     Heartbeats(Vec<Heartbeat>),
     /// Progress of a request.
     Work(WorkEvent),
+    /// Root of a generation as JSON text.
+    ConfigurationHead(String),
+    /// One segment of that generation.
+    ConfigurationSegment {
+        /// Name made from the content.
+        name: String,
+        /// JSON text.
+        text: String,
+    },
 }
--- a/crates/rail_platform/src/client.rs
+++ b/crates/rail_platform/src/client.rs
@@ -23,14 +23,12 @@
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest reply that is read, in bytes.
 pub const MAX_REPLY_BYTES: usize = 64 << 20;
-/// Namespace that holds the system's objects.
-pub const NAMESPACE: &str = "tarragonrail";
 
 /// Client of the platform object API; clones share connections and counts.
 #[derive(Clone)]
 pub struct PlatformClient {
     http: Client,
-    objects_url: String,
+    base_url: String,
     calls: Rc<Cell<u64>>,
     budget: Rc<RefCell<CallBudget>>,
     started_at: Instant,
@@ -57,9 +55,7 @@
 
 impl std::fmt::Debug for PlatformClient {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("PlatformClient")
-            .field("objects_url", &self.objects_url)
-            .finish_non_exhaustive()
+        f.debug_struct("PlatformClient").field("base_url", &self.base_url).finish_non_exhaustive()
     }
 }
 
@@ -70,11 +66,11 @@
             .connector(Connector::new().limit(0).local_address(local_ip).timeout(CALL_TIMEOUT))
             .timeout(CALL_TIMEOUT)
             .finish();
-        let objects_url = format!("http://{platform}/api/v1/namespaces/{NAMESPACE}/configmaps");
+        let base_url = format!("http://{platform}");
         let budget = CallBudget::new(CALLS_PER_S, BURST_CALLS, Duration::ZERO);
         Self {
             http,
-            objects_url,
+            base_url,
             calls: Rc::default(),
             budget: Rc::new(RefCell::new(budget)),
             started_at: Instant::now(),
@@ -107,7 +103,7 @@
     /// # Errors
     /// [`Error::NotFound`] when there is none, or a failure of the call.
     pub async fn get(&self, name: &str) -> Result<Object> {
-        let url = format!("{}/{name}", self.objects_url);
+        let url = self.object_url(name);
         let map: ConfigMap = read_json(self.send(Method::GET, &url, None).await?).await?;
         Ok(map.into())
     }
@@ -118,7 +114,7 @@
     /// [`Error::AlreadyExists`] when the name is taken, or a failure of the call.
     pub async fn create(&self, kind: ObjectKind, name: &str, value: &str) -> Result<Object> {
         let body = ConfigMap::new(kind, name, "", value);
-        let reply = self.send(Method::POST, &self.objects_url, Some(&body)).await;
+        let reply = self.send(Method::POST, &self.kind_url(kind), Some(&body)).await;
         match reply {
             Err(Error::Conflict) => Err(Error::AlreadyExists),
             Err(error) => Err(error),
@@ -137,7 +133,7 @@
         value: &str,
         expected_version: &str,
     ) -> Result<Object> {
-        let url = format!("{}/{name}", self.objects_url);
+        let url = self.object_url(name);
         let body = ConfigMap::new(kind, name, expected_version, value);
         let reply = self.send(Method::PUT, &url, Some(&body)).await?;
         read_json::<ConfigMap>(reply).await.map(Object::from)
@@ -148,7 +144,7 @@
     /// # Errors
     /// [`Error::NotFound`] when there is none, or a failure of the call.
     pub async fn delete(&self, name: &str) -> Result<()> {
-        let url = format!("{}/{name}", self.objects_url);
+        let url = self.object_url(name);
         self.send(Method::DELETE, &url, None).await?;
         Ok(())
     }
@@ -158,7 +154,7 @@
     /// # Errors
     /// Any failure of the call.
     pub async fn list(&self, kind: ObjectKind) -> Result<(Vec<Object>, ObjectVersion)> {
-        let url = format!("{}?{}", self.objects_url, selector(kind));
+        let url = format!("{}?{}", self.kind_url(kind), selector(kind));
         let list: ConfigMapList = read_json(self.send(Method::GET, &url, None).await?).await?;
         let objects = list.items.into_iter().map(Object::from).collect();
         Ok((objects, list.metadata.resource_version))
@@ -174,7 +170,7 @@
     )> {
         let url = format!(
             "{}?{}&watch=true&allowWatchBookmarks=true&resourceVersion={since}",
-            self.objects_url,
+            self.kind_url(kind),
             selector(kind)
         );
         let reply = self.send(Method::GET, &url, None).await?;
@@ -199,6 +195,15 @@
         result
     }
 
+    fn kind_url(&self, kind: ObjectKind) -> String {
+        format!("{}{}", self.base_url, kind.path())
+    }
+
+    fn object_url(&self, name: &str) -> String {
+        // All objects that are read or written by name are of one type.
+        format!("{}/{name}", self.kind_url(ObjectKind::ConfigHead))
+    }
+
     async fn wait_for_budget(&self) {
         loop {
             let taken = self.budget.borrow_mut().try_take(self.now());
--- a/crates/rail_platform/src/config.rs
+++ b/crates/rail_platform/src/config.rs
@@ -6,8 +6,14 @@
     object::{Object, ObjectKind},
     watch::WatchCache,
 };
-use rail_config::{Fleet, Head};
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use rail_config::{Fleet, Generation, Head, segment::segment_name};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::IpAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 /// Name of the object that holds the head.
 pub const HEAD_NAME: &str = "config-head";
@@ -24,11 +30,24 @@
 
 #[derive(Debug, Default)]
 struct State {
+    accepted: Rc<Fleet>,
+    /// The accepted generation with the marks of leaving upstreams.
     current: Rc<Fleet>,
+    head: Head,
     segments: BTreeMap<String, Rc<str>>,
+    leaving: BTreeSet<IpAddr>,
     confirmed: bool,
 }
 
+/// A generation as stored, to be passed on to a peer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Snapshot {
+    /// Root of the generation.
+    pub head: Head,
+    /// Text of each segment that the receiver lacks, by name.
+    pub segments: BTreeMap<String, String>,
+}
+
 impl ConfigFollower {
     /// Starts following on the current actix thread.
     pub fn spawn(client: PlatformClient) -> Self {
@@ -59,11 +78,78 @@
         Rc::clone(&self.state.borrow().current)
     }
 
-    /// Reports whether the platform confirmed the generation in force at least once.
+    /// Reports whether a generation was read from the platform or a peer at least once.
     pub fn is_confirmed(&self) -> bool {
         self.state.borrow().confirmed
     }
 
+    /// Marks upstreams at these addresses as leaving, whatever the generation in force says.
+    pub fn set_leaving(&self, leaving: BTreeSet<IpAddr>) {
+        let mut state = self.state.borrow_mut();
+        if state.leaving != leaving {
+            log::info!("upstreams leaving by the host list: {leaving:?}");
+            state.leaving = leaving;
+            state.mark_leaving();
+        }
+    }
+
+    /// Gives the newest generation that the platform showed; 0 when it has none.
+    pub fn newest(&self) -> Generation {
+        let head = self.heads.find(HEAD_NAME).and_then(|object| parse_head(&object).ok());
+        head.map_or(0, |head| head.generation)
+    }
+
+    /// Reads the head now and applies it if it is greater.
+    ///
+    /// # Errors
+    /// Any failure of the calls.
+    pub async fn refresh(&self) -> Result<()> {
+        match self.client.get(HEAD_NAME).await {
+            Ok(object) => self.apply(parse_head(&object)?).await,
+            Err(Error::NotFound) => Ok(()),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Names the segments in force.
+    pub fn segment_names(&self) -> Vec<String> {
+        self.state.borrow().head.segments.clone()
+    }
+
+    /// Gives the generation in force if it is greater, without segments known to the receiver.
+    pub fn snapshot(&self, above: Generation, known: &[String]) -> Option<Snapshot> {
+        let state = self.state.borrow();
+        if state.head.generation <= above {
+            return None;
+        }
+        let missing = state.head.segments.iter().filter(|name| !known.contains(name));
+        let segments = missing
+            .map(|name| Some((name.clone(), state.segments.get(name)?.to_string())))
+            .collect::<Option<_>>()?;
+        Some(Snapshot { head: state.head.clone(), segments })
+    }
+
+    /// Applies a generation that a peer passed on, if it is greater than the one in force.
+    ///
+    /// # Errors
+    /// [`Error::Unreadable`] when a segment is missing or does not match its name.
+    pub fn take_in(&self, snapshot: Snapshot) -> Result<()> {
+        if snapshot.head.generation <= self.current().generation {
+            return Ok(());
+        }
+        let mut texts = self.state.borrow().segments.clone();
+        for (name, text) in snapshot.segments {
+            if segment_name(&text) != name {
+                return Err(Error::Unreadable);
+            }
+            texts.insert(name, text.into());
+        }
+        let in_order: Option<Vec<_>> =
+            snapshot.head.segments.iter().map(|name| texts.get(name).cloned()).collect();
+        let in_order = in_order.ok_or(Error::Unreadable)?;
+        self.put_in_force(snapshot.head, &in_order)
+    }
+
     /// Tells how long ago the platform last confirmed the head.
     pub fn age(&self) -> Option<Duration> {
         self.heads.age()
@@ -86,28 +172,46 @@
             self.state.borrow_mut().confirmed = self.heads.age().is_some();
             return Ok(());
         };
-        let head = parse_head(&object)?;
-        if head.generation <= self.current().generation {
-            return Ok(());
+        self.apply(parse_head(&object)?).await
+    }
+
+    async fn apply(&self, head: Head) -> Result<()> {
+        if head.generation > self.current().generation {
+            let texts = self.read_segments(&head).await?;
+            self.put_in_force(head, &texts)?;
         }
-        let fleet = self.read_fleet(&head).await?;
+        self.state.borrow_mut().confirmed = true;
+        Ok(())
+    }
+
+    fn put_in_force(&self, head: Head, texts: &[Rc<str>]) -> Result<()> {
+        let fleet = Fleet::join(head.generation, texts.iter().map(|text| &**text));
+        let fleet = fleet.map_err(unreadable)?;
         let mut state = self.state.borrow_mut();
         // Another task may have applied a newer generation meanwhile.
-        if fleet.generation > state.current.generation {
+        if fleet.generation > state.accepted.generation {
             log::info!("generation {} in force", fleet.generation);
-            state.current = Rc::new(fleet);
-            state.segments.retain(|name, _| head.segments.contains(name));
+            let names = head.segments.iter().cloned();
+            state.segments = names.zip(texts.iter().cloned()).collect();
+            state.head = head;
+            state.accepted = Rc::new(fleet);
+            state.mark_leaving();
         }
         state.confirmed = true;
         Ok(())
     }
 
     async fn read_fleet(&self, head: &Head) -> Result<Fleet> {
+        let texts = self.read_segments(head).await?;
+        Fleet::join(head.generation, texts.iter().map(|text| &**text)).map_err(unreadable)
+    }
+
+    async fn read_segments(&self, head: &Head) -> Result<Vec<Rc<str>>> {
         let mut texts = Vec::with_capacity(head.segments.len());
         for name in &head.segments {
             texts.push(self.read_segment(name).await?);
         }
-        Fleet::join(head.generation, texts.iter().map(|text| &**text)).map_err(unreadable)
+        Ok(texts)
     }
 
     async fn read_segment(&self, name: &str) -> Result<Rc<str>> {
@@ -120,7 +224,26 @@
     }
 }
 
-fn parse_head(object: &Object) -> Result<Head> {
+impl State {
+    fn mark_leaving(&mut self) {
+        let is_marked = |ip: &IpAddr| self.leaving.contains(ip);
+        if !self.accepted.upstreams.values().any(|u| is_marked(&u.address.ip())) {
+            self.current = Rc::clone(&self.accepted);
+            return;
+        }
+        let mut marked = (*self.accepted).clone();
+        for upstream in marked.upstreams.values_mut() {
+            upstream.leaving |= is_marked(&upstream.address.ip());
+        }
+        self.current = Rc::new(marked);
+    }
+}
+
+/// Reads the stored form of a head.
+///
+/// # Errors
+/// [`Error::Unreadable`] when the value is no head.
+pub fn parse_head(object: &Object) -> Result<Head> {
     serde_json::from_str(&object.value).map_err(|_error| Error::Unreadable)
 }
 
--- a/crates/rail_platform/src/lib.rs
+++ b/crates/rail_platform/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod client;
 pub mod config;
 pub mod error;
+pub mod hosts;
 pub mod object;
 pub mod settle;
 pub mod watch;
@@ -24,6 +25,7 @@
         client::PlatformClient,
         config::ConfigFollower,
         error::{Error, Result},
+        hosts::HostList,
         object::{Object, ObjectKind, ObjectVersion},
         settle::{Settled, Settlement, Write},
         watch::WatchCache,
--- a/crates/rail_platform/src/object.rs
+++ b/crates/rail_platform/src/object.rs
@@ -1,5 +1,6 @@
 //! Objects and their wire form.
 
+use crate::hosts::Endpoint;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -8,6 +9,8 @@
 /// Name of an object.
 pub type ObjectName = String;
 
+/// Namespace that holds the system's objects.
+pub const NAMESPACE: &str = "tarragonrail";
 /// Key of the only entry in an object's data.
 const VALUE_KEY: &str = "value";
 /// Label that names the kind of an object.
@@ -28,6 +31,8 @@
     Claim,
     /// Request that crashes its upstreams.
     Quarantine,
+    /// List of hosts that are live or leaving, kept by the platform itself.
+    HostList,
 }
 
 impl ObjectKind {
@@ -40,6 +45,17 @@
             Self::Owner => "owner",
             Self::Claim => "claim",
             Self::Quarantine => "quarantine",
+            Self::HostList => "host-list",
+        }
+    }
+
+    /// Gives the path of the API that serves objects of this kind.
+    pub(crate) fn path(self) -> String {
+        match self {
+            Self::HostList => {
+                format!("/apis/discovery.k8s.io/v1/namespaces/{NAMESPACE}/endpointslices")
+            }
+            _ => format!("/api/v1/namespaces/{NAMESPACE}/configmaps"),
         }
     }
 }
@@ -53,6 +69,8 @@
     pub version: ObjectVersion,
     /// Value.
     pub value: String,
+    /// Hosts of a host list; empty for other kinds.
+    pub endpoints: Vec<Endpoint>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -65,6 +83,9 @@
     pub metadata: Metadata,
     #[serde(default)]
     pub data: BTreeMap<String, String>,
+    /// Hosts of an endpoint slice.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub endpoints: Vec<Endpoint>,
 }
 
 #[derive(Debug, Default, Serialize, Deserialize)]
@@ -112,6 +133,7 @@
                 labels,
             },
             data: BTreeMap::from([(VALUE_KEY.to_owned(), value.to_owned())]),
+            endpoints: Vec::new(),
         }
     }
 }
@@ -122,6 +144,7 @@
             name: map.metadata.name,
             version: map.metadata.resource_version,
             value: map.data.remove(VALUE_KEY).unwrap_or_default(),
+            endpoints: map.endpoints,
         }
     }
 }
--- a/crates/rail_platform/src/settle.rs
+++ b/crates/rail_platform/src/settle.rs
@@ -12,7 +12,7 @@
 };
 
 /// Calls after which a write stays unsettled.
-pub const MAX_SETTLE_CALLS: u32 = 12;
+pub const MAX_SETTLE_CALLS: u32 = 8;
 
 /// A conditional write.
 #[derive(Debug, Clone, Copy)]
--- a/crates/rail_platform/tests/pure.rs
+++ b/crates/rail_platform/tests/pure.rs
@@ -89,7 +89,12 @@
 impl Store {
     fn object(&self) -> Option<Object> {
         let value = self.history.last()?.clone();
-        Some(Object { name: "x".into(), version: self.history.len().to_string(), value })
+        Some(Object {
+            name: "x".into(),
+            version: self.history.len().to_string(),
+            value,
+            endpoints: Vec::new(),
+        })
     }
 
     fn update(&mut self, expected: Option<&str>, value: &str) -> CallEnd {
--- a/crates/rail_runtime/src/settings.rs
+++ b/crates/rail_runtime/src/settings.rs
@@ -152,6 +152,9 @@
     /// address of the platform object API, as IP:port
     #[options(no_short)]
     pub platform: Option<String>,
+    /// peer endpoints to ask first, as IP:port, separated by commas (none)
+    #[options(no_short)]
+    pub peers: Option<String>,
     /// authority certificate: PEM file or PEM text
     #[options(no_short)]
     pub ca: Option<String>,
@@ -200,6 +203,8 @@
     pub metrics_port: u16,
     /// Address of the platform object API.
     pub platform: SocketAddr,
+    /// Peer endpoints to ask first.
+    pub peers: Vec<SocketAddr>,
     /// Authority certificate, file or text.
     pub ca: String,
     /// Host certificate, file or text.
@@ -273,6 +278,7 @@
             operator_port: reader.or("operator-port", flags.operator_port, 7403),
             metrics_port: reader.or("metrics-port", flags.metrics_port, 7404),
             platform: platform.0,
+            peers: reader.or("peers", flags.peers, ParsedSockets::default()).0,
             ca: reader.required("ca", flags.ca),
             cert: reader.required("cert", flags.cert),
             key: reader.required("key", flags.key),
@@ -286,6 +292,12 @@
         reader.finish()?;
         Ok(settings)
     }
+
+    /// Lists the peer endpoints to ask first, the scheduler of this host included.
+    pub fn seeds(&self) -> Vec<SocketAddr> {
+        let own = SocketAddr::new(self.ip, self.peer_port);
+        self.peers.iter().copied().chain([own]).collect()
+    }
 }
 
 /// Prints every fault and exits with code 2.
@@ -313,6 +325,18 @@
     }
 }
 
+#[derive(Debug, Default)]
+struct ParsedSockets(Vec<SocketAddr>);
+
+impl FromStr for ParsedSockets {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(s: &str) -> std::result::Result<Self, Self::Err> {
+        let parts = s.split(',').map(str::trim).filter(|part| !part.is_empty());
+        parts.map(str::parse).collect::<std::result::Result<_, _>>().map(Self)
+    }
+}
+
 #[derive(Debug)]
 struct ParsedSocket(SocketAddr);
 
--- a/crates/rail_testfleet/src/fleet.rs
+++ b/crates/rail_testfleet/src/fleet.rs
@@ -5,7 +5,7 @@
     process::{Process, binary_path},
 };
 use rail_runtime::keys::Authority;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::{
     collections::BTreeMap,
     net::IpAddr,
@@ -174,6 +174,17 @@
         assert!(reply.expect("stand-in answers").status().is_success(), "faults are accepted");
     }
 
+    /// Sets the platform's host list: addresses, each with whether it is leaving.
+    pub async fn set_hosts(&self, hosts: &[(IpAddr, bool)]) {
+        let endpoints = hosts.iter().map(|(ip, leaving)| {
+            json!({"addresses": [ip], "conditions": {"ready": !leaving, "terminating": leaving}})
+        });
+        let body = Value::from_iter(endpoints);
+        let url = format!("{}/_hosts", self.standin_url("platform"));
+        let reply = awc::Client::default().post(url).send_json(&body).await;
+        assert!(reply.expect("stand-in answers").status().is_success(), "hosts are accepted");
+    }
+
     /// Reads what a stand-in has seen.
     pub async fn stats(&self, name: &str) -> Value {
         let url = format!("{}/_stats", self.standin_url(name));
@@ -254,6 +265,7 @@
             ("TARRAGON_ZONE".to_owned(), format!("zone{}", (number - 1) % 3 + 1)),
             ("TARRAGON_IP".to_owned(), self.host_ip(number).to_string()),
             ("TARRAGON_PLATFORM".to_owned(), format!("{}:{STANDIN_PORT}", self.network.ip(1))),
+            ("TARRAGON_PEERS".to_owned(), self.peers()),
             ("TARRAGON_CA".to_owned(), key("ca.pem".to_owned())),
             ("TARRAGON_CERT".to_owned(), key(format!("{host}.pem"))),
             ("TARRAGON_KEY".to_owned(), key(format!("{host}.key"))),
@@ -261,7 +273,13 @@
         variables
     }
 
-    fn standin_ip(&self, name: &str) -> IpAddr {
+    fn peers(&self) -> String {
+        let hosts = (1..=self.plan.hosts).map(|number| format!("{}:7402", self.host_ip(number)));
+        hosts.collect::<Vec<_>>().join(",")
+    }
+
+    /// Gives the address of a stand-in.
+    pub fn standin_ip(&self, name: &str) -> IpAddr {
         let number = |prefix: &str| name.strip_prefix(prefix).and_then(|n| n.parse::<u8>().ok());
         match (name, number("engine"), number("service")) {
             ("platform", ..) => self.network.ip(1),
--- a/crates/tarragon_admin/src/accept.rs
+++ b/crates/tarragon_admin/src/accept.rs
@@ -2,20 +2,17 @@
 
 use prometheus_client::metrics::counter::Counter;
 use rail_config::{Change, ChangeError, Fleet, Generation, Head};
-use rail_platform::config::HEAD_NAME;
-use rail_platform::{ConfigFollower, Error as PlatformError, Object, ObjectKind, PlatformClient};
+use rail_platform::{
+    ConfigFollower, Error as PlatformError, Object, ObjectKind, PlatformClient, Settled, Write,
+    config::{HEAD_NAME, parse_head},
+};
 use rail_runtime::{Metrics, metrics::Reasons};
-use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 
 /// Changes that wait for the accepting thread.
 const QUEUE: usize = 64;
 /// Attempts when other operators accept generations at the same time.
 const MAX_ATTEMPTS: u32 = 10;
-/// Attempts to read the head back after a lost reply.
-const MAX_SETTLE_ATTEMPTS: u32 = 5;
-/// Pause between attempts to read the head back.
-const SETTLE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Result of accepting changes.
 pub type Result<T> = std::result::Result<T, Error>;
@@ -151,51 +148,55 @@
     }
 
     /// Writes a generation; returns whether it was accepted or another won.
-    async fn try_accept(&self, next: &Fleet, head: Option<Object>) -> Result<bool> {
+    async fn try_accept(&self, next: &Fleet, object: Option<Object>) -> Result<bool> {
         let nonce: u64 = rand::random();
-        let (next_head, segments) =
-            next.split(nonce).map_err(|_error| Error::Platform(PlatformError::Unreadable))?;
-        for segment in &segments {
-            let created =
-                self.platform.create(ObjectKind::ConfigSegment, &segment.name, &segment.text).await;
-            match created {
-                Ok(_) | Err(PlatformError::AlreadyExists) => {}
-                Err(error) => return Err(Error::Platform(error)),
-            }
-        }
-        let value = serde_json::to_string(&next_head)
-            .map_err(|_error| Error::Platform(PlatformError::Unreadable))?;
-        let written = match &head {
-            Some(head) => {
-                let kind = ObjectKind::ConfigHead;
-                self.platform.update(kind, HEAD_NAME, &value, &head.version).await
-            }
-            None => self.platform.create(ObjectKind::ConfigHead, HEAD_NAME, &value).await,
+        let (mut head, segments) = next.split(nonce).map_err(|_error| unreadable())?;
+        let replaced = match &object {
+            Some(object) => parse_head(object).map_err(Error::Platform)?,
+            None => Head::default(),
         };
-        match written {
-            Ok(_) => Ok(true),
-            Err(PlatformError::Conflict | PlatformError::AlreadyExists) => Ok(false),
-            Err(error) if error.is_effect_unknown() => self.settle(&next_head).await,
-            Err(error) => Err(Error::Platform(error)),
+        head.follow(&replaced);
+        for segment in segments.iter().filter(|s| !replaced.segments.contains(&s.name)) {
+            self.write_segment(&segment.name, &segment.text).await?;
         }
+        self.write_head(&head, object.map(|object| object.version)).await
     }
 
-    /// Reads the head back after a lost reply.
-    async fn settle(&self, written: &Head) -> Result<bool> {
-        for _attempt in 0..MAX_SETTLE_ATTEMPTS {
-            if let Ok(object) = self.platform.get(HEAD_NAME).await {
-                match serde_json::from_str::<Head>(&object.value) {
-                    Ok(head) if head == *written => return Ok(true),
-                    Ok(head) if head.generation >= written.generation => return Ok(false),
-                    _ => {}
-                }
+    async fn write_segment(&self, name: &str, text: &str) -> Result<()> {
+        let kind = ObjectKind::ConfigSegment;
+        let write = Write { kind, name, value: text, expected_version: None };
+        // A segment that stands already has the same content, as its name is made from it.
+        let _settled = self.platform.write_settled(write).await.map_err(Error::Platform)?;
+        Ok(())
+    }
+
+    async fn write_head(&self, head: &Head, expected_version: Option<String>) -> Result<bool> {
+        let value = serde_json::to_string(head).map_err(|_error| unreadable())?;
+        let write = Write {
+            kind: ObjectKind::ConfigHead,
+            name: HEAD_NAME,
+            value: &value,
+            expected_version: expected_version.as_deref(),
+        };
+        let unknown = || Error::OutcomeUnknown(head.generation);
+        match self.platform.write_settled(write).await {
+            Ok(Settled::Applied(_)) => Ok(true),
+            Ok(Settled::Superseded { is_certain: true, .. }) => Ok(false),
+            Ok(Settled::Superseded { current, .. }) => {
+                let current = current.and_then(|object| parse_head(&object).ok());
+                let current = current.ok_or_else(unknown)?;
+                current.includes(head.generation, head.nonce).ok_or_else(unknown)
             }
-            actix_rt::time::sleep(SETTLE_PAUSE).await;
+            Err(error) if error.is_effect_unknown() => Err(unknown()),
+            Err(error) => Err(Error::Platform(error)),
         }
-        Err(Error::OutcomeUnknown(written.generation))
     }
 }
 
+fn unreadable() -> Error {
+    Error::Platform(PlatformError::Unreadable)
+}
+
 fn reason(error: &Error) -> &'static str {
     match error {
         Error::Change(_) => "invalid_change",
--- a/crates/tarragon_admin/src/main.rs
+++ b/crates/tarragon_admin/src/main.rs
@@ -7,16 +7,13 @@
 mod operator;
 
 use rail_api::operator::operator_server::OperatorServer;
-use rail_lease::SessionRecord;
 use rail_member::{Heartbeat, Role};
-use rail_peer::{Gossip, PeerClient};
-use rail_platform::{ConfigFollower, ObjectKind, PlatformClient, WatchCache};
+use rail_peer::{Gossip, PeerClient, follow_configuration, follow_sessions};
+use rail_platform::{ConfigFollower, HostList, ObjectKind, PlatformClient, WatchCache};
 use rail_runtime::{FleetSettings, Keys, Metrics, StopSignal, start_logging};
 use std::{net::SocketAddr, time::Duration};
 use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig};
 
-/// Interval between looks at the addresses of schedulers.
-const PEER_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest time that one operator call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -42,14 +39,18 @@
     let keys = Keys::open(&settings.ca, &settings.cert, &settings.key)?;
     let metrics = Metrics::default();
     let peers = PeerClient::open(settings.ip, &keys)?;
-    let own = Heartbeat::start(&settings.host, &settings.zone, Role::Admin);
-    let gossip = Gossip::spawn(peers, own, settings.heartbeat);
-    let platform = PlatformClient::open(settings.platform, settings.ip);
+    let address = SocketAddr::new(settings.ip, settings.operator_port);
+    let mut own = Heartbeat::start(&settings.host, &settings.zone, Role::Admin);
+    own.address = Some(address);
+    let gossip = Gossip::spawn(peers.clone(), own, settings.heartbeat);
+    gossip.set_seeds(settings.seeds());
+    let platform = PlatformClient::open(settings.platform, settings.ip).with_metrics(&metrics);
     let config = ConfigFollower::spawn(platform.clone());
     let sessions = WatchCache::spawn(platform.clone(), ObjectKind::Session);
-    actix_rt::spawn(follow_peers(sessions, gossip.clone(), config.clone()));
+    actix_rt::spawn(follow_sessions(sessions, gossip.clone()));
+    let hosts = HostList::spawn(platform.clone());
+    actix_rt::spawn(follow_configuration(config.clone(), hosts, gossip.clone(), peers));
     let acceptor = accept::Acceptor::spawn(platform, config, &metrics);
-    let address = SocketAddr::new(settings.ip, settings.operator_port);
     let tls = ServerTlsConfig::new()
         .identity(Identity::from_pem(&keys.cert_pem, &keys.key_pem))
         .client_ca_root(Certificate::from_pem(&keys.ca_pem));
@@ -62,18 +63,3 @@
         .await?;
     Ok(())
 }
-
-/// Exchanges heartbeats with every scheduler that has a session.
-async fn follow_peers(sessions: WatchCache, gossip: Gossip, config: ConfigFollower) {
-    loop {
-        let records = sessions.objects();
-        let live = records
-            .iter()
-            .filter_map(|o| serde_json::from_str::<SessionRecord>(&o.value).ok())
-            .filter(|record| !record.revoked);
-        gossip.set_peers(live.map(|record| record.address).collect());
-        let generation = config.current().generation;
-        gossip.update_own(|own| own.generation = generation);
-        actix_rt::time::sleep(PEER_INTERVAL).await;
-    }
-}
--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -1,21 +1,22 @@
 //! Caller API: routes requests to the owners of engines.
 //!
 //! [`caller`] holds the HTTP handlers, [`route`] finds the owner of a
-//! candidate engine and follows the answer, [`services`] passes calls to
+//! candidate engine and follows the answer, [`load`] counts requests in
+//! progress, [`services`] passes calls to
 //! plain upstreams, [`problem`] writes errors.
 
 mod caller;
 mod entry;
+mod load;
 mod metrics;
 mod problem;
 mod route;
 mod services;
 
-use actix_web::{App, HttpServer, web};
-use rail_lease::SessionRecord;
+use actix_web::{App, HttpServer, dev::Service, web};
 use rail_member::{Heartbeat, Role};
-use rail_peer::{Gossip, PeerClient};
-use rail_platform::{ConfigFollower, ObjectKind, PlatformClient, WatchCache};
+use rail_peer::{Gossip, PeerClient, follow_configuration, follow_sessions};
+use rail_platform::{ConfigFollower, HostList, ObjectKind, PlatformClient, WatchCache};
 use rail_runtime::{FleetSettings, Keys, Metrics, StopSignal, start_logging};
 use std::{net::SocketAddr, time::Duration};
 
@@ -25,8 +26,8 @@
 const STOP_TIMEOUT_S: u64 = 600;
 /// Time in which a caller must send its request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Interval between looks at the addresses of schedulers.
-const PEER_INTERVAL: Duration = Duration::from_millis(200);
+/// Heartbeat intervals in which a leaving mark reaches every gateway.
+const LEAVING_SPREAD_INTERVALS: u32 = 3;
 
 #[derive(Debug, thiserror::Error)]
 enum Error {
@@ -77,7 +78,8 @@
 impl Gateway {
     /// Opens the platform's watches on the current actix thread.
     fn open(shared: Shared) -> Self {
-        let platform = PlatformClient::open(shared.settings.platform, shared.settings.ip);
+        let platform = PlatformClient::open(shared.settings.platform, shared.settings.ip)
+            .with_metrics(&shared.registry);
         let gateway = Self {
             config: ConfigFollower::spawn(platform.clone()),
             owners: WatchCache::spawn(platform.clone(), ObjectKind::Owner),
@@ -89,25 +91,16 @@
             registry: shared.registry,
             stop: shared.stop,
         };
-        let sessions = WatchCache::spawn(platform, ObjectKind::Session);
-        actix_rt::spawn(gateway.clone().follow_peers(sessions));
+        let sessions = WatchCache::spawn(platform.clone(), ObjectKind::Session);
+        actix_rt::spawn(follow_sessions(sessions, gateway.gossip.clone()));
+        actix_rt::spawn(follow_configuration(
+            gateway.config.clone(),
+            HostList::spawn(platform),
+            gateway.gossip.clone(),
+            gateway.peers.clone(),
+        ));
         gateway
     }
-
-    /// Exchanges heartbeats with every scheduler that has a session.
-    async fn follow_peers(self, sessions: WatchCache) {
-        loop {
-            let records = sessions.objects();
-            let live = records
-                .iter()
-                .filter_map(|o| serde_json::from_str::<SessionRecord>(&o.value).ok())
-                .filter(|record| !record.revoked);
-            self.gossip.set_peers(live.map(|record| record.address).collect());
-            let generation = self.config.current().generation;
-            self.gossip.update_own(|own| own.generation = generation);
-            actix_rt::time::sleep(PEER_INTERVAL).await;
-        }
-    }
 }
 
 #[actix_web::main]
@@ -118,10 +111,14 @@
     let keys = Keys::open(&settings.ca, &settings.cert, &settings.key)?;
     let registry = Metrics::default();
     let peers = PeerClient::open(settings.ip, &keys)?;
-    let own = Heartbeat::start(&settings.host, &settings.zone, Role::Gateway);
-    let gossip = Gossip::spawn(peers.clone(), own, settings.heartbeat);
     let address = SocketAddr::new(settings.ip, settings.caller_port);
-    let lifetime = settings.entry_lifetime;
+    let mut own = Heartbeat::start(&settings.host, &settings.zone, Role::Gateway);
+    own.address = Some(address);
+    let gossip = Gossip::spawn(peers.clone(), own, settings.heartbeat);
+    gossip.set_seeds(settings.seeds());
+    let load = load::Load::new(gossip.clone());
+    // Answers of other gateways may name this one until the mark has reached them.
+    let lifetime = settings.entry_lifetime + settings.heartbeat * LEAVING_SPREAD_INTERVALS;
     let shared = Shared {
         metrics: metrics::GatewayMetrics::register(&registry),
         settings,
@@ -132,7 +129,13 @@
     };
     // The platform client is not shared between threads, so its thread opens it.
     let server = HttpServer::new(move || {
+        let load = load.clone();
         App::new()
+            .wrap_fn(move |request, service| {
+                let in_flight = load.start_request();
+                let reply = service.call(request);
+                async move { Ok(reply.await?.map_body(|_, body| in_flight.count(body))) }
+            })
             .app_data(web::Data::new(Gateway::open(shared.clone())))
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .configure(caller::routes)
--- a/crates/tarragon_gateway/src/route.rs
+++ b/crates/tarragon_gateway/src/route.rs
@@ -61,12 +61,12 @@
 }
 
 impl Gateway {
-    /// Refuses work while no configuration was read since the start.
+    /// Refuses work while no configuration was read or confirmed as current.
     ///
     /// # Errors
     /// [`NotRunReason::StaleConfiguration`]: a name that is not known yet is no unknown name.
     pub fn check_configuration(&self) -> Result<()> {
-        if self.config.is_confirmed() {
+        if self.config.is_confirmed() && self.gossip.verdict().allows_work() {
             return Ok(());
         }
         let reason = NotRunReason::StaleConfiguration;
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -6,14 +6,15 @@
 
 mod engine;
 mod http;
+mod leaving;
 mod metrics;
 mod serve;
 mod session;
 
 use rail_lease::SessionRecord;
 use rail_member::{Heartbeat, Role};
-use rail_peer::{Gossip, PeerClient, PeerServer};
-use rail_platform::{ConfigFollower, PlatformClient};
+use rail_peer::{Gossip, PeerClient, PeerServer, follow_configuration};
+use rail_platform::{ConfigFollower, HostList, PlatformClient};
 use rail_runtime::{FleetSettings, Keys, Metrics, MonotonicClock, StopSignal, start_logging};
 use std::net::SocketAddr;
 
@@ -40,10 +41,14 @@
     let address = SocketAddr::new(settings.ip, settings.peer_port);
     let (server, incoming) = PeerServer::bind(address, &keys)?;
     let client = PeerClient::open(settings.ip, &keys)?;
-    let platform = PlatformClient::open(settings.platform, settings.ip);
+    let platform = PlatformClient::open(settings.platform, settings.ip).with_metrics(&registry);
     let config = ConfigFollower::spawn(platform.clone());
-    let own = Heartbeat::start(&settings.host, &settings.zone, Role::Scheduler);
-    let gossip = Gossip::spawn(client, own, settings.heartbeat);
+    let mut own = Heartbeat::start(&settings.host, &settings.zone, Role::Scheduler);
+    own.address = Some(address);
+    let gossip = Gossip::spawn(client.clone(), own, settings.heartbeat);
+    gossip.set_seeds(settings.seeds());
+    let hosts = HostList::spawn(platform.clone());
+    actix_rt::spawn(follow_configuration(config.clone(), hosts, gossip.clone(), client));
     let record = SessionRecord {
         session_id: rand::random(),
         host: settings.host.clone(),
@@ -64,6 +69,7 @@
         counters.clone(),
     );
     http::spawn(SocketAddr::new(settings.ip, settings.metrics_port), registry)?;
+    leaving::spawn(session.clone(), config.clone());
     serve::spawn(incoming, session.clone(), gossip.clone(), config, counters);
     log::info!("scheduler of {} listens on {address}", settings.host);
     stop.wait().await;
--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::{engine::Submit, metrics::SchedulerMetrics, session::Session};
 use rail_config::ModelName;
-use rail_peer::{Gossip, Incoming, PeerReply, PeerRequest, ReplySender};
+use rail_peer::{Gossip, Incoming, PeerReply, PeerRequest, ReplySender, send_configuration};
 use rail_platform::ConfigFollower;
 use rail_request::{NotRun, NotRunReason, WorkEvent, WorkOrder};
 use std::time::Duration;
@@ -33,9 +33,17 @@
                     });
                 }
                 PeerRequest::Work(order) => {
-                    let events = submit(order, &session, &config, &metrics);
+                    let events = submit(order, &session, &config, &gossip, &metrics);
                     actix_rt::spawn(forward(events, replies));
                 }
+                PeerRequest::Configuration { above, known_segments } => {
+                    let config = config.clone();
+                    actix_rt::spawn(async move {
+                        // A peer that is gone asks again.
+                        let _gone =
+                            send_configuration(&config, above, &known_segments, replies).await;
+                    });
+                }
             }
         }
     });
@@ -46,14 +54,17 @@
     order: WorkOrder,
     session: &Session,
     config: &ConfigFollower,
+    gossip: &Gossip,
     metrics: &SchedulerMetrics,
 ) -> mpsc::Receiver<WorkEvent> {
     let (events, receiver) = mpsc::channel(EVENT_QUEUE);
     let known =
         order.model.parse::<ModelName>().is_ok_and(|m| config.current().resolve(&m).is_ok());
-    let refusal = if !known {
+    let is_engine_leaving =
+        config.current().upstreams.get(&order.engine).is_some_and(|engine| engine.leaving);
+    let refusal = if !known || !gossip.verdict().allows_work() {
         Some(NotRunReason::StaleConfiguration)
-    } else if session.is_leaving() {
+    } else if session.is_leaving() || is_engine_leaving {
         Some(NotRunReason::Leaving)
     } else {
         None
--- a/crates/tarragon_standin/src/platform.rs
+++ b/crates/tarragon_standin/src/platform.rs
@@ -18,6 +18,8 @@
 const BOOKMARK_INTERVAL: Duration = Duration::from_millis(500);
 /// Events that a slow watcher may lag behind before it is cut off.
 const WATCH_BACKLOG: usize = 4096;
+/// Where the host list is kept; no object that is read by name is called so.
+const HOST_LIST_KEY: &str = "endpointslices/hosts";
 /// How long a lost reply hangs.
 const LOST_REPLY_HANG: Duration = Duration::from_secs(5);
 
@@ -49,6 +51,8 @@
     lose_write_replies: u32,
     /// Delay before writes take effect, in milliseconds.
     write_delay_ms: u64,
+    /// Delay before a change of the host list shows, in milliseconds.
+    host_list_lag_ms: u64,
 }
 
 #[derive(Debug, Default, Clone, Serialize)]
@@ -311,6 +315,30 @@
     }
 }
 
+/// Replaces the host list, after its lag.
+async fn set_hosts(body: web::Json<Value>, data: Data) -> HttpResponse {
+    let lag = Duration::from_millis(data.lock().faults.host_list_lag_ms);
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(lag).await;
+        let mut inner = data.lock();
+        inner.version += 1;
+        let slice = json!({
+            "apiVersion": "discovery.k8s.io/v1",
+            "kind": "EndpointSlice",
+            "addressType": "IPv4",
+            "metadata": {
+                "name": "hosts",
+                "resourceVersion": inner.version.to_string(),
+                "labels": {"tarragonrail-kind": "host-list"},
+            },
+            "endpoints": body.into_inner(),
+        });
+        inner.objects.insert(HOST_LIST_KEY.to_owned(), slice.clone());
+        data.emit("MODIFIED", &slice);
+    });
+    HttpResponse::Ok().finish()
+}
+
 async fn set_faults(body: web::Json<Faults>, data: Data) -> HttpResponse {
     data.lock().faults = body.into_inner();
     HttpResponse::Ok().finish()
@@ -333,13 +361,16 @@
         }),
         events: broadcast::Sender::new(WATCH_BACKLOG),
     });
+    let slices = "/apis/discovery.k8s.io/v1/namespaces/{namespace}/endpointslices";
     let maps = "/api/v1/namespaces/{namespace}/configmaps";
     HttpServer::new(move || {
         App::new()
             .app_data(data.clone())
             .app_data(web::JsonConfig::default().limit(2 << 20))
             .route("/_faults", web::post().to(set_faults))
+            .route("/_hosts", web::post().to(set_hosts))
             .route("/_stats", web::get().to(stats))
+            .route(slices, web::get().to(list))
             .service(web::resource(maps).route(web::get().to(list)).route(web::post().to(create)))
             .service(
                 web::resource(format!("{maps}/{{name}}"))
