Freshness and entry hosts: properties; a starting gateway waits for its first configuration

Cause: process test stopping_any_process_cuts_off_no_request got stale_configuration from a gateway that had just started.

--- a/crates/rail_member/src/entry.rs
+++ b/crates/rail_member/src/entry.rs
@@ -26,13 +26,15 @@
     pub weight: u32,
 }
 
-/// Lists live gateways by weight for a caller in this zone, leaving ones left out.
+/// Lists live gateways by weight for a caller in this zone, leaving and unconfigured ones left out.
 pub fn list_entry_hosts<'a>(
     members: impl IntoIterator<Item = &'a (Heartbeat, Duration)>,
     caller_zone: Option<&str>,
 ) -> Vec<EntryHost> {
     let live = members.into_iter().filter(|(heartbeat, age)| {
-        heartbeat.role == Role::Gateway && !heartbeat.leaving && *age <= MAX_AGE
+        let is_configured = heartbeat.generation > 0 || heartbeat.confirmed_age.is_some();
+        let is_live = !heartbeat.leaving && *age <= MAX_AGE;
+        heartbeat.role == Role::Gateway && is_configured && is_live
     });
     let mut hosts: Vec<_> = live.filter_map(|(h, _)| to_entry_host(h, caller_zone)).collect();
     hosts.sort_by(|a, b| b.weight.cmp(&a.weight).then_with(|| a.host.cmp(&b.host)));
--- a/crates/rail_peer/src/client.rs
+++ b/crates/rail_peer/src/client.rs
@@ -7,7 +7,7 @@
     server::{ALPN, transport},
 };
 use quinn::{Connection, Endpoint, crypto::rustls::QuicClientConfig};
-use rail_runtime::{Keys, keys::FLEET_SERVER_NAME};
+use rail_runtime::{Keys, Metrics, keys::FLEET_SERVER_NAME};
 use std::{
     collections::HashMap,
     net::{IpAddr, SocketAddr},
@@ -18,6 +18,8 @@
 
 /// Time in which a link must be open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval between counts of the bytes on the links.
+const COUNT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Opens calls to peers; clones share their links.
 #[derive(Debug, Clone)]
@@ -57,6 +59,25 @@
         Ok(Self { endpoint, links: Arc::default() })
     }
 
+    /// Exposes the bytes that were sent and received on the links opened from here.
+    pub fn with_metrics(self, metrics: &Metrics) -> Self {
+        let counter = metrics.counter("peer_bytes", "Bytes on links to peers, both directions");
+        let links = Arc::clone(&self.links);
+        tokio::spawn(async move {
+            let mut counted = HashMap::new();
+            loop {
+                for link in links.lock().await.values() {
+                    let stats = link.stats();
+                    let bytes = stats.udp_tx.bytes + stats.udp_rx.bytes;
+                    let before = counted.insert(link.stable_id(), bytes).unwrap_or(0);
+                    counter.inc_by(bytes.saturating_sub(before));
+                }
+                tokio::time::sleep(COUNT_INTERVAL).await;
+            }
+        });
+        self
+    }
+
     /// Sends a request over the link to this peer.
     ///
     /// # Errors
--- a/crates/rail_peer/src/configuration.rs
+++ b/crates/rail_peer/src/configuration.rs
@@ -29,6 +29,7 @@
     gossip: Gossip,
     client: PeerClient,
 ) {
+    let mut changes = config.subscribe();
     loop {
         observe(&config, &hosts, &gossip);
         if gossip.is_behind() && !is_refreshed(&config, &gossip).await {
@@ -39,7 +40,8 @@
                 }
             }
         }
-        actix_rt::time::sleep(INTERVAL).await;
+        // The sender lives as long as `config`, so only a change ends the wait early.
+        let _changed = tokio::time::timeout(INTERVAL, changes.changed()).await;
     }
 }
 
--- a/crates/rail_platform/src/client.rs
+++ b/crates/rail_platform/src/client.rs
@@ -40,6 +40,7 @@
     calls: Reasons,
     failures: Reasons,
     open_watches: Gauge,
+    generation: Gauge,
 }
 
 /// Counts a watch as open until dropped.
@@ -84,6 +85,7 @@
             calls: metrics.reasons("platform_calls", "Calls to the platform by kind"),
             failures: metrics.reasons("platform_failures", "Failed calls to the platform"),
             open_watches: metrics.gauge("platform_open_watches", "Watches that wait"),
+            generation: metrics.gauge("config_generation", "Configuration generation in force"),
         });
         self
     }
@@ -225,6 +227,12 @@
         }
     }
 
+    pub(crate) fn show_generation(&self, generation: u64) {
+        if let Some(counters) = &self.counters {
+            counters.generation.set(generation as i64);
+        }
+    }
+
     fn show_watches(&self) {
         if let Some(counters) = &self.counters {
             counters.open_watches.set(i64::from(self.open_watches()));
--- a/crates/rail_platform/src/config.rs
+++ b/crates/rail_platform/src/config.rs
@@ -14,6 +14,7 @@
     rc::Rc,
     time::Duration,
 };
+use tokio::sync::watch;
 
 /// Name of the object that holds the head.
 pub const HEAD_NAME: &str = "config-head";
@@ -26,6 +27,7 @@
     client: PlatformClient,
     heads: WatchCache,
     state: Rc<RefCell<State>>,
+    changes: watch::Sender<Generation>,
 }
 
 #[derive(Debug, Default)]
@@ -52,7 +54,8 @@
     /// Starts following on the current actix thread.
     pub fn spawn(client: PlatformClient) -> Self {
         let heads = WatchCache::spawn(client.clone(), ObjectKind::ConfigHead);
-        let follower = Self { client, heads, state: Rc::default() };
+        let changes = watch::Sender::new(0);
+        let follower = Self { client, heads, state: Rc::default(), changes };
         let task = follower.clone();
         actix_rt::spawn(async move {
             let mut changes = task.heads.subscribe();
@@ -83,6 +86,11 @@
         self.state.borrow().confirmed
     }
 
+    /// Subscribes to the generation in force; the first confirmation counts as a change.
+    pub fn subscribe(&self) -> watch::Receiver<Generation> {
+        self.changes.subscribe()
+    }
+
     /// Marks upstreams at these addresses as leaving, whatever the generation in force says.
     pub fn set_leaving(&self, leaving: BTreeSet<IpAddr>) {
         let mut state = self.state.borrow_mut();
@@ -169,7 +177,9 @@
 
     async fn apply_head(&self) -> Result<()> {
         let Some(object) = self.heads.find(HEAD_NAME) else {
-            self.state.borrow_mut().confirmed = self.heads.age().is_some();
+            if self.heads.age().is_some() {
+                self.confirm();
+            }
             return Ok(());
         };
         self.apply(parse_head(&object)?).await
@@ -180,10 +190,16 @@
             let texts = self.read_segments(&head).await?;
             self.put_in_force(head, &texts)?;
         }
-        self.state.borrow_mut().confirmed = true;
+        self.confirm();
         Ok(())
     }
 
+    fn confirm(&self) {
+        if !std::mem::replace(&mut self.state.borrow_mut().confirmed, true) {
+            self.changes.send_modify(|_generation| {});
+        }
+    }
+
     fn put_in_force(&self, head: Head, texts: &[Rc<str>]) -> Result<()> {
         let fleet = Fleet::join(head.generation, texts.iter().map(|text| &**text));
         let fleet = fleet.map_err(unreadable)?;
@@ -191,13 +207,15 @@
         // Another task may have applied a newer generation meanwhile.
         if fleet.generation > state.accepted.generation {
             log::info!("generation {} in force", fleet.generation);
+            self.client.show_generation(fleet.generation);
             let names = head.segments.iter().cloned();
             state.segments = names.zip(texts.iter().cloned()).collect();
             state.head = head;
             state.accepted = Rc::new(fleet);
             state.mark_leaving();
+            state.confirmed = true;
+            self.changes.send_replace(state.accepted.generation);
         }
-        state.confirmed = true;
         Ok(())
     }
 
--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -18,7 +18,10 @@
 use rail_peer::{Gossip, PeerClient, follow_configuration, follow_sessions};
 use rail_platform::{ConfigFollower, HostList, ObjectKind, PlatformClient, WatchCache};
 use rail_runtime::{FleetSettings, Keys, Metrics, StopSignal, start_logging};
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 /// Largest body of a caller's request in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -26,6 +29,10 @@
 const STOP_TIMEOUT_S: u64 = 600;
 /// Time in which a caller must send its request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time after the start in which requests wait for the first configuration.
+const START_LIMIT: Duration = Duration::from_secs(2);
+/// Interval between looks at the configuration meanwhile.
+const START_INTERVAL: Duration = Duration::from_millis(20);
 /// Heartbeat intervals in which a leaving mark reaches every gateway.
 const LEAVING_SPREAD_INTERVALS: u32 = 3;
 
@@ -62,6 +69,8 @@
     pub stop: StopSignal,
     /// Instances of plain services.
     pub services: services::Services,
+    /// Time at which the process began to serve.
+    pub started_at: Instant,
 }
 
 /// Parts of the gateway that its threads share.
@@ -90,6 +99,7 @@
             metrics: shared.metrics,
             registry: shared.registry,
             stop: shared.stop,
+            started_at: Instant::now(),
         };
         let sessions = WatchCache::spawn(platform.clone(), ObjectKind::Session);
         actix_rt::spawn(follow_sessions(sessions, gateway.gossip.clone()));
@@ -101,6 +111,13 @@
         ));
         gateway
     }
+
+    /// Holds requests of the first seconds until the configuration is confirmed.
+    async fn wait_for_configuration(&self) {
+        while self.started_at.elapsed() < START_LIMIT && self.check_configuration().is_err() {
+            actix_rt::time::sleep(START_INTERVAL).await;
+        }
+    }
 }
 
 #[actix_web::main]
@@ -110,7 +127,7 @@
     let stop = StopSignal::open()?;
     let keys = Keys::open(&settings.ca, &settings.cert, &settings.key)?;
     let registry = Metrics::default();
-    let peers = PeerClient::open(settings.ip, &keys)?;
+    let peers = PeerClient::open(settings.ip, &keys)?.with_metrics(&registry);
     let address = SocketAddr::new(settings.ip, settings.caller_port);
     let mut own = Heartbeat::start(&settings.host, &settings.zone, Role::Gateway);
     own.address = Some(address);
@@ -130,13 +147,19 @@
     // The platform client is not shared between threads, so its thread opens it.
     let server = HttpServer::new(move || {
         let load = load.clone();
+        let gateway = Gateway::open(shared.clone());
+        let starting = gateway.clone();
         App::new()
             .wrap_fn(move |request, service| {
                 let in_flight = load.start_request();
+                let starting = starting.clone();
                 let reply = service.call(request);
-                async move { Ok(reply.await?.map_body(|_, body| in_flight.count(body))) }
+                async move {
+                    starting.wait_for_configuration().await;
+                    Ok(reply.await?.map_body(|_, body| in_flight.count(body)))
+                }
             })
-            .app_data(web::Data::new(Gateway::open(shared.clone())))
+            .app_data(web::Data::new(gateway))
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .configure(caller::routes)
     })
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -40,7 +40,7 @@
     let counters = metrics::SchedulerMetrics::register(&registry);
     let address = SocketAddr::new(settings.ip, settings.peer_port);
     let (server, incoming) = PeerServer::bind(address, &keys)?;
-    let client = PeerClient::open(settings.ip, &keys)?;
+    let client = PeerClient::open(settings.ip, &keys)?.with_metrics(&registry);
     let platform = PlatformClient::open(settings.platform, settings.ip).with_metrics(&registry);
     let config = ConfigFollower::spawn(platform.clone());
     let mut own = Heartbeat::start(&settings.host, &settings.zone, Role::Scheduler);
--- a/crates/tarragon_standin/src/platform.rs
+++ b/crates/tarragon_standin/src/platform.rs
@@ -60,6 +60,7 @@
     reads: u64,
     writes: u64,
     watches: u64,
+    open_watches: u64,
     throttled: u64,
     conflicts: u64,
 }
@@ -176,6 +177,15 @@
     object["metadata"]["labels"][key] == value
 }
 
+/// Counts a watch as open until dropped.
+struct OpenWatch(Data);
+
+impl Drop for OpenWatch {
+    fn drop(&mut self) {
+        self.0.lock().stats.open_watches -= 1;
+    }
+}
+
 async fn list(request: HttpRequest, query: web::Query<ListQuery>, data: Data) -> HttpResponse {
     if let Some(refusal) = data.admit(&request, false).await {
         return refusal;
@@ -200,13 +210,15 @@
     let missed: Vec<Value> = {
         let mut inner = data.lock();
         inner.stats.watches += 1;
+        inner.stats.open_watches += 1;
         let newer = |o: &&Value| version_of(o) > since;
         let selector = query.label_selector.as_deref();
         inner.objects.values().filter(newer).filter(|o| matches(o, selector)).cloned().collect()
     };
     let first = stream::iter(missed.into_iter().map(|o| line("MODIFIED", &o)));
-    let state = (receiver, data, query, source);
-    let rest = stream::unfold(state, |(mut receiver, data, query, source)| async move {
+    let open = OpenWatch(data.clone());
+    let state = (receiver, data, query, source, open);
+    let rest = stream::unfold(state, |(mut receiver, data, query, source, open)| async move {
         loop {
             let next = tokio::time::timeout(BOOKMARK_INTERVAL, receiver.recv()).await;
             if data.is_cut(source.as_deref()) {
@@ -222,7 +234,7 @@
                 }
                 Ok(Err(_lagged)) => return None,
             };
-            return Some((text, (receiver, data, query, source)));
+            return Some((text, (receiver, data, query, source, open)));
         }
     });
     HttpResponse::Ok()
