--- a/crates/rail_testfleet/src/fleet.rs
+++ b/crates/rail_testfleet/src/fleet.rs
@@ -9,6 +9,7 @@
 use std::{
     collections::BTreeMap,
     net::IpAddr,
+    ops::RangeInclusive,
     path::PathBuf,
     process::{Command, Output},
     time::{Duration, Instant},
@@ -174,6 +175,47 @@
         assert!(reply.expect("stand-in answers").status().is_success(), "faults are accepted");
     }
 
+    /// Reads a metric of a gateway or scheduler, summed over its labels; none when it is away.
+    pub async fn metric(&self, process: &str, name: &str) -> Option<u64> {
+        let (host, role) = process.split_once('/')?;
+        let ip = self.host_ip(host.trim_start_matches("host").parse().ok()?);
+        let port = if role == "gateway" { 8080 } else { 7404 };
+        let url = format!("http://{ip}:{port}/metrics");
+        let mut reply = awc::Client::default().get(url).send().await.ok()?;
+        let body = reply.body().limit(1 << 20).await.ok()?;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let is_named = |line: &&str| line.starts_with(name);
+        let values = text.lines().filter(is_named).filter_map(|line| line.rsplit(' ').next());
+        values.map(|value| value.parse::<f64>().ok().map(|value| value as u64)).sum()
+    }
+
+    /// Reads the generation in force at every gateway and scheduler of these hosts.
+    pub async fn generations(&self, hosts: RangeInclusive<u8>) -> Vec<Option<u64>> {
+        let names = hosts
+            .flat_map(|host| ["gateway", "scheduler"].map(|role| format!("host{host}/{role}")));
+        let reads = names.map(|name| async move { self.metric(&name, "config_generation").await });
+        futures_util::future::join_all(reads).await
+    }
+
+    /// Waits until a generation is in force at every gateway and scheduler of these hosts.
+    pub async fn wait_for_generation(
+        &self,
+        hosts: RangeInclusive<u8>,
+        generation: u64,
+        limit: Duration,
+    ) -> Duration {
+        let started = Instant::now();
+        loop {
+            let in_force = self.generations(hosts.clone()).await;
+            if in_force.iter().all(|value| value.is_some_and(|value| value >= generation)) {
+                return started.elapsed();
+            }
+            let elapsed = started.elapsed();
+            assert!(elapsed < limit, "{generation} not in force after {elapsed:?}: {in_force:?}");
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
     /// Sets the platform's host list: addresses, each with whether it is leaving.
     pub async fn set_hosts(&self, hosts: &[(IpAddr, bool)]) {
         let endpoints = hosts.iter().map(|(ip, leaving)| {
