--- a/crates/rail_platform/src/client.rs
+++ b/crates/rail_platform/src/client.rs
@@ -1,6 +1,7 @@
 //! Single calls to the platform.
 
 use crate::{
+    budget::{BURST_CALLS, CALLS_PER_S, CallBudget},
     error::{Error, Result},
     object::{ConfigMap, ConfigMapList, KIND_LABEL, Object, ObjectKind, ObjectVersion},
 };
@@ -9,33 +10,53 @@
     error::SendRequestError,
     http::{Method, StatusCode},
 };
+use prometheus_client::metrics::gauge::Gauge;
+use rail_runtime::{Metrics, metrics::Reasons};
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     net::{IpAddr, SocketAddr},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Time in which the platform must answer a call.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest reply that is read, in bytes.
 pub const MAX_REPLY_BYTES: usize = 64 << 20;
-/// Namespace that holds the system's objects.
-pub const NAMESPACE: &str = "tarragonrail";
 
 /// Client of the platform object API; clones share connections and counts.
 #[derive(Clone)]
 pub struct PlatformClient {
     http: Client,
-    objects_url: String,
+    base_url: String,
     calls: Rc<Cell<u64>>,
+    budget: Rc<RefCell<CallBudget>>,
+    started_at: Instant,
+    counters: Option<Counters>,
+}
+
+#[derive(Clone)]
+struct Counters {
+    calls: Reasons,
+    failures: Reasons,
+    open_watches: Gauge,
+    generation: Gauge,
+}
+
+/// Counts a watch as open until dropped.
+pub(crate) struct OpenWatch(PlatformClient);
+
+impl Drop for OpenWatch {
+    fn drop(&mut self) {
+        let now = self.0.now();
+        self.0.budget.borrow_mut().close_watch(now);
+        self.0.show_watches();
+    }
 }
 
 impl std::fmt::Debug for PlatformClient {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("PlatformClient")
-            .field("objects_url", &self.objects_url)
-            .finish_non_exhaustive()
+        f.debug_struct("PlatformClient").field("base_url", &self.base_url).finish_non_exhaustive()
     }
 }
 
@@ -46,8 +67,32 @@
             .connector(Connector::new().limit(0).local_address(local_ip).timeout(CALL_TIMEOUT))
             .timeout(CALL_TIMEOUT)
             .finish();
-        let objects_url = format!("http://{platform}/api/v1/namespaces/{NAMESPACE}/configmaps");
-        Self { http, objects_url, calls: Rc::new(Cell::new(0)) }
+        let base_url = format!("http://{platform}");
+        let budget = CallBudget::new(CALLS_PER_S, BURST_CALLS, Duration::ZERO);
+        Self {
+            http,
+            base_url,
+            calls: Rc::default(),
+            budget: Rc::new(RefCell::new(budget)),
+            started_at: Instant::now(),
+            counters: None,
+        }
+    }
+
+    /// Exposes calls, failures by reason and open watches.
+    pub fn with_metrics(mut self, metrics: &Metrics) -> Self {
+        self.counters = Some(Counters {
+            calls: metrics.reasons("platform_calls", "Calls to the platform by kind"),
+            failures: metrics.reasons("platform_failures", "Failed calls to the platform"),
+            open_watches: metrics.gauge("platform_open_watches", "Watches that wait"),
+            generation: metrics.gauge("config_generation", "Configuration generation in force"),
+        });
+        self
+    }
+
+    /// Counts the watches that are open.
+    pub fn open_watches(&self) -> u32 {
+        self.budget.borrow().open_watches()
     }
 
     /// Counts the calls made so far, watches included.
@@ -60,7 +105,7 @@
     /// # Errors
     /// [`Error::NotFound`] when there is none, or a failure of the call.
     pub async fn get(&self, name: &str) -> Result<Object> {
-        let url = format!("{}/{name}", self.objects_url);
+        let url = self.object_url(name);
         let map: ConfigMap = read_json(self.send(Method::GET, &url, None).await?).await?;
         Ok(map.into())
     }
@@ -71,7 +116,7 @@
     /// [`Error::AlreadyExists`] when the name is taken, or a failure of the call.
     pub async fn create(&self, kind: ObjectKind, name: &str, value: &str) -> Result<Object> {
         let body = ConfigMap::new(kind, name, "", value);
-        let reply = self.send(Method::POST, &self.objects_url, Some(&body)).await;
+        let reply = self.send(Method::POST, &self.kind_url(kind), Some(&body)).await;
         match reply {
             Err(Error::Conflict) => Err(Error::AlreadyExists),
             Err(error) => Err(error),
@@ -90,7 +135,7 @@
         value: &str,
         expected_version: &str,
     ) -> Result<Object> {
-        let url = format!("{}/{name}", self.objects_url);
+        let url = self.object_url(name);
         let body = ConfigMap::new(kind, name, expected_version, value);
         let reply = self.send(Method::PUT, &url, Some(&body)).await?;
         read_json::<ConfigMap>(reply).await.map(Object::from)
@@ -101,7 +146,7 @@
     /// # Errors
     /// [`Error::NotFound`] when there is none, or a failure of the call.
     pub async fn delete(&self, name: &str) -> Result<()> {
-        let url = format!("{}/{name}", self.objects_url);
+        let url = self.object_url(name);
         self.send(Method::DELETE, &url, None).await?;
         Ok(())
     }
@@ -111,7 +156,7 @@
     /// # Errors
     /// Any failure of the call.
     pub async fn list(&self, kind: ObjectKind) -> Result<(Vec<Object>, ObjectVersion)> {
-        let url = format!("{}?{}", self.objects_url, selector(kind));
+        let url = format!("{}?{}", self.kind_url(kind), selector(kind));
         let list: ConfigMapList = read_json(self.send(Method::GET, &url, None).await?).await?;
         let objects = list.items.into_iter().map(Object::from).collect();
         Ok((objects, list.metadata.resource_version))
@@ -121,13 +166,19 @@
         &self,
         kind: ObjectKind,
         since: &str,
-    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>> {
+    ) -> Result<(
+        ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>,
+        OpenWatch,
+    )> {
         let url = format!(
             "{}?{}&watch=true&allowWatchBookmarks=true&resourceVersion={since}",
-            self.objects_url,
+            self.kind_url(kind),
             selector(kind)
         );
-        self.send(Method::GET, &url, None).await
+        let reply = self.send(Method::GET, &url, None).await?;
+        self.budget.borrow_mut().open_watch(self.now());
+        self.show_watches();
+        Ok((reply, OpenWatch(self.clone())))
     }
 
     async fn send(
@@ -136,7 +187,64 @@
         url: &str,
         body: Option<&ConfigMap>,
     ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>> {
+        self.wait_for_budget().await;
         self.calls.set(self.calls.get() + 1);
+        self.count(method.as_str());
+        let result = self.send_now(method, url, body).await;
+        if let (Err(error), Some(counters)) = (&result, &self.counters) {
+            counters.failures.count(error.reason());
+        }
+        result
+    }
+
+    fn kind_url(&self, kind: ObjectKind) -> String {
+        format!("{}{}", self.base_url, kind.path())
+    }
+
+    fn object_url(&self, name: &str) -> String {
+        // All objects that are read or written by name are of one type.
+        format!("{}/{name}", self.kind_url(ObjectKind::ConfigHead))
+    }
+
+    async fn wait_for_budget(&self) {
+        loop {
+            let taken = self.budget.borrow_mut().try_take(self.now());
+            let Err(pause) = taken else {
+                return;
+            };
+            self.count("over_budget");
+            actix_rt::time::sleep(pause).await;
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started_at.elapsed()
+    }
+
+    fn count(&self, kind: &str) {
+        if let Some(counters) = &self.counters {
+            counters.calls.count(kind);
+        }
+    }
+
+    pub(crate) fn show_generation(&self, generation: u64) {
+        if let Some(counters) = &self.counters {
+            counters.generation.set(generation as i64);
+        }
+    }
+
+    fn show_watches(&self) {
+        if let Some(counters) = &self.counters {
+            counters.open_watches.set(i64::from(self.open_watches()));
+        }
+    }
+
+    async fn send_now(
+        &self,
+        method: Method,
+        url: &str,
+        body: Option<&ConfigMap>,
+    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>> {
         let request = self.http.request(method, url);
         let sent = match body {
             Some(body) => request.send_json(body).await,
--- a/crates/rail_testfleet/src/fleet.rs
+++ b/crates/rail_testfleet/src/fleet.rs
@@ -5,10 +5,11 @@
     process::{Process, binary_path},
 };
 use rail_runtime::keys::Authority;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::{
     collections::BTreeMap,
     net::IpAddr,
+    ops::RangeInclusive,
     path::PathBuf,
     process::{Command, Output},
     time::{Duration, Instant},
@@ -174,6 +175,58 @@
         assert!(reply.expect("stand-in answers").status().is_success(), "faults are accepted");
     }
 
+    /// Reads a metric of a gateway or scheduler, summed over its labels; none when it is away.
+    pub async fn metric(&self, process: &str, name: &str) -> Option<u64> {
+        let (host, role) = process.split_once('/')?;
+        let ip = self.host_ip(host.trim_start_matches("host").parse().ok()?);
+        let port = if role == "gateway" { 8080 } else { 7404 };
+        let url = format!("http://{ip}:{port}/metrics");
+        let mut reply = awc::Client::default().get(url).send().await.ok()?;
+        let body = reply.body().limit(1 << 20).await.ok()?;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let is_named = |line: &&str| line.starts_with(name);
+        let values = text.lines().filter(is_named).filter_map(|line| line.rsplit(' ').next());
+        values.map(|value| value.parse::<f64>().ok().map(|value| value as u64)).sum()
+    }
+
+    /// Reads the generation in force at every gateway and scheduler of these hosts.
+    pub async fn generations(&self, hosts: RangeInclusive<u8>) -> Vec<Option<u64>> {
+        let names = hosts
+            .flat_map(|host| ["gateway", "scheduler"].map(|role| format!("host{host}/{role}")));
+        let reads = names.map(|name| async move { self.metric(&name, "config_generation").await });
+        futures_util::future::join_all(reads).await
+    }
+
+    /// Waits until a generation is in force at every gateway and scheduler of these hosts.
+    pub async fn wait_for_generation(
+        &self,
+        hosts: RangeInclusive<u8>,
+        generation: u64,
+        limit: Duration,
+    ) -> Duration {
+        let started = Instant::now();
+        loop {
+            let in_force = self.generations(hosts.clone()).await;
+            if in_force.iter().all(|value| value.is_some_and(|value| value >= generation)) {
+                return started.elapsed();
+            }
+            let elapsed = started.elapsed();
+            assert!(elapsed < limit, "{generation} not in force after {elapsed:?}: {in_force:?}");
+            actix_rt::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Sets the platform's host list: addresses, each with whether it is leaving.
+    pub async fn set_hosts(&self, hosts: &[(IpAddr, bool)]) {
+        let endpoints = hosts.iter().map(|(ip, leaving)| {
+            json!({"addresses": [ip], "conditions": {"ready": !leaving, "terminating": leaving}})
+        });
+        let body = Value::from_iter(endpoints);
+        let url = format!("{}/_hosts", self.standin_url("platform"));
+        let reply = awc::Client::default().post(url).send_json(&body).await;
+        assert!(reply.expect("stand-in answers").status().is_success(), "hosts are accepted");
+    }
+
     /// Reads what a stand-in has seen.
     pub async fn stats(&self, name: &str) -> Value {
         let url = format!("{}/_stats", self.standin_url(name));
@@ -254,6 +307,7 @@
             ("TARRAGON_ZONE".to_owned(), format!("zone{}", (number - 1) % 3 + 1)),
             ("TARRAGON_IP".to_owned(), self.host_ip(number).to_string()),
             ("TARRAGON_PLATFORM".to_owned(), format!("{}:{STANDIN_PORT}", self.network.ip(1))),
+            ("TARRAGON_PEERS".to_owned(), self.peers()),
             ("TARRAGON_CA".to_owned(), key("ca.pem".to_owned())),
             ("TARRAGON_CERT".to_owned(), key(format!("{host}.pem"))),
             ("TARRAGON_KEY".to_owned(), key(format!("{host}.key"))),
@@ -261,7 +315,13 @@
         variables
     }
 
-    fn standin_ip(&self, name: &str) -> IpAddr {
+    fn peers(&self) -> String {
+        let hosts = (1..=self.plan.hosts).map(|number| format!("{}:7402", self.host_ip(number)));
+        hosts.collect::<Vec<_>>().join(",")
+    }
+
+    /// Gives the address of a stand-in.
+    pub fn standin_ip(&self, name: &str) -> IpAddr {
         let number = |prefix: &str| name.strip_prefix(prefix).and_then(|n| n.parse::<u8>().ok());
         match (name, number("engine"), number("service")) {
             ("platform", ..) => self.network.ip(1),
--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -1,23 +1,27 @@
 //! Caller API: routes requests to the owners of engines.
 //!
 //! [`caller`] holds the HTTP handlers, [`route`] finds the owner of a
-//! candidate engine and follows the answer, [`services`] passes calls to
+//! candidate engine and follows the answer, [`load`] counts requests in
+//! progress, [`services`] passes calls to
 //! plain upstreams, [`problem`] writes errors.
 
 mod caller;
 mod entry;
+mod load;
 mod metrics;
 mod problem;
 mod route;
 mod services;
 
-use actix_web::{App, HttpServer, web};
-use rail_lease::SessionRecord;
+use actix_web::{App, HttpServer, dev::Service, web};
 use rail_member::{Heartbeat, Role};
-use rail_peer::{Gossip, PeerClient};
-use rail_platform::{ConfigFollower, ObjectKind, PlatformClient, WatchCache};
+use rail_peer::{Gossip, PeerClient, follow_configuration, follow_sessions};
+use rail_platform::{ConfigFollower, HostList, ObjectKind, PlatformClient, WatchCache};
 use rail_runtime::{FleetSettings, Keys, Metrics, StopSignal, start_logging};
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 /// Largest body of a caller's request in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -25,8 +29,12 @@
 const STOP_TIMEOUT_S: u64 = 600;
 /// Time in which a caller must send its request head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
-/// Interval between looks at the addresses of schedulers.
-const PEER_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after the start in which requests wait for the first configuration.
+const START_LIMIT: Duration = Duration::from_secs(2);
+/// Interval between looks at the configuration meanwhile.
+const START_INTERVAL: Duration = Duration::from_millis(20);
+/// Heartbeat intervals in which a leaving mark reaches every gateway.
+const LEAVING_SPREAD_INTERVALS: u32 = 3;
 
 #[derive(Debug, thiserror::Error)]
 enum Error {
@@ -61,6 +69,8 @@
     pub stop: StopSignal,
     /// Instances of plain services.
     pub services: services::Services,
+    /// Time at which the process began to serve.
+    pub started_at: Instant,
 }
 
 /// Parts of the gateway that its threads share.
@@ -77,7 +87,8 @@
 impl Gateway {
     /// Opens the platform's watches on the current actix thread.
     fn open(shared: Shared) -> Self {
-        let platform = PlatformClient::open(shared.settings.platform, shared.settings.ip);
+        let platform = PlatformClient::open(shared.settings.platform, shared.settings.ip)
+            .with_metrics(&shared.registry);
         let gateway = Self {
             config: ConfigFollower::spawn(platform.clone()),
             owners: WatchCache::spawn(platform.clone(), ObjectKind::Owner),
@@ -88,24 +99,23 @@
             metrics: shared.metrics,
             registry: shared.registry,
             stop: shared.stop,
+            started_at: Instant::now(),
         };
-        let sessions = WatchCache::spawn(platform, ObjectKind::Session);
-        actix_rt::spawn(gateway.clone().follow_peers(sessions));
+        let sessions = WatchCache::spawn(platform.clone(), ObjectKind::Session);
+        actix_rt::spawn(follow_sessions(sessions, gateway.gossip.clone()));
+        actix_rt::spawn(follow_configuration(
+            gateway.config.clone(),
+            HostList::spawn(platform),
+            gateway.gossip.clone(),
+            gateway.peers.clone(),
+        ));
         gateway
     }
 
-    /// Exchanges heartbeats with every scheduler that has a session.
-    async fn follow_peers(self, sessions: WatchCache) {
-        loop {
-            let records = sessions.objects();
-            let live = records
-                .iter()
-                .filter_map(|o| serde_json::from_str::<SessionRecord>(&o.value).ok())
-                .filter(|record| !record.revoked);
-            self.gossip.set_peers(live.map(|record| record.address).collect());
-            let generation = self.config.current().generation;
-            self.gossip.update_own(|own| own.generation = generation);
-            actix_rt::time::sleep(PEER_INTERVAL).await;
+    /// Holds requests of the first seconds until the configuration is confirmed.
+    async fn wait_for_configuration(&self) {
+        while self.started_at.elapsed() < START_LIMIT && self.check_configuration().is_err() {
+            actix_rt::time::sleep(START_INTERVAL).await;
         }
     }
 }
@@ -117,11 +127,15 @@
     let stop = StopSignal::open()?;
     let keys = Keys::open(&settings.ca, &settings.cert, &settings.key)?;
     let registry = Metrics::default();
-    let peers = PeerClient::open(settings.ip, &keys)?;
-    let own = Heartbeat::start(&settings.host, &settings.zone, Role::Gateway);
-    let gossip = Gossip::spawn(peers.clone(), own, settings.heartbeat);
+    let peers = PeerClient::open(settings.ip, &keys)?.with_metrics(&registry);
     let address = SocketAddr::new(settings.ip, settings.caller_port);
-    let lifetime = settings.entry_lifetime;
+    let mut own = Heartbeat::start(&settings.host, &settings.zone, Role::Gateway);
+    own.address = Some(address);
+    let gossip = Gossip::spawn(peers.clone(), own, settings.heartbeat);
+    gossip.set_seeds(settings.seeds());
+    let load = load::Load::new(gossip.clone());
+    // Answers of other gateways may name this one until the mark has reached them.
+    let lifetime = settings.entry_lifetime + settings.heartbeat * LEAVING_SPREAD_INTERVALS;
     let shared = Shared {
         metrics: metrics::GatewayMetrics::register(&registry),
         settings,
@@ -132,8 +146,20 @@
     };
     // The platform client is not shared between threads, so its thread opens it.
     let server = HttpServer::new(move || {
+        let load = load.clone();
+        let gateway = Gateway::open(shared.clone());
+        let starting = gateway.clone();
         App::new()
-            .app_data(web::Data::new(Gateway::open(shared.clone())))
+            .wrap_fn(move |request, service| {
+                let in_flight = load.start_request();
+                let starting = starting.clone();
+                let reply = service.call(request);
+                async move {
+                    starting.wait_for_configuration().await;
+                    Ok(reply.await?.map_body(|_, body| in_flight.count(body)))
+                }
+            })
+            .app_data(web::Data::new(gateway))
             .app_data(web::PayloadConfig::new(MAX_BODY_BYTES))
             .configure(caller::routes)
     })
--- a/crates/tarragon_standin/src/platform.rs
+++ b/crates/tarragon_standin/src/platform.rs
@@ -18,6 +18,8 @@
 const BOOKMARK_INTERVAL: Duration = Duration::from_millis(500);
 /// Events that a slow watcher may lag behind before it is cut off.
 const WATCH_BACKLOG: usize = 4096;
+/// Where the host list is kept; no object that is read by name is called so.
+const HOST_LIST_KEY: &str = "endpointslices/hosts";
 /// How long a lost reply hangs.
 const LOST_REPLY_HANG: Duration = Duration::from_secs(5);
 
@@ -49,6 +51,8 @@
     lose_write_replies: u32,
     /// Delay before writes take effect, in milliseconds.
     write_delay_ms: u64,
+    /// Delay before a change of the host list shows, in milliseconds.
+    host_list_lag_ms: u64,
 }
 
 #[derive(Debug, Default, Clone, Serialize)]
@@ -56,6 +60,7 @@
     reads: u64,
     writes: u64,
     watches: u64,
+    open_watches: u64,
     throttled: u64,
     conflicts: u64,
 }
@@ -172,6 +177,15 @@
     object["metadata"]["labels"][key] == value
 }
 
+/// Counts a watch as open until dropped.
+struct OpenWatch(Data);
+
+impl Drop for OpenWatch {
+    fn drop(&mut self) {
+        self.0.lock().stats.open_watches -= 1;
+    }
+}
+
 async fn list(request: HttpRequest, query: web::Query<ListQuery>, data: Data) -> HttpResponse {
     if let Some(refusal) = data.admit(&request, false).await {
         return refusal;
@@ -196,13 +210,15 @@
     let missed: Vec<Value> = {
         let mut inner = data.lock();
         inner.stats.watches += 1;
+        inner.stats.open_watches += 1;
         let newer = |o: &&Value| version_of(o) > since;
         let selector = query.label_selector.as_deref();
         inner.objects.values().filter(newer).filter(|o| matches(o, selector)).cloned().collect()
     };
     let first = stream::iter(missed.into_iter().map(|o| line("MODIFIED", &o)));
-    let state = (receiver, data, query, source);
-    let rest = stream::unfold(state, |(mut receiver, data, query, source)| async move {
+    let open = OpenWatch(data.clone());
+    let state = (receiver, data, query, source, open);
+    let rest = stream::unfold(state, |(mut receiver, data, query, source, open)| async move {
         loop {
             let next = tokio::time::timeout(BOOKMARK_INTERVAL, receiver.recv()).await;
             if data.is_cut(source.as_deref()) {
@@ -218,7 +234,7 @@
                 }
                 Ok(Err(_lagged)) => return None,
             };
-            return Some((text, (receiver, data, query, source)));
+            return Some((text, (receiver, data, query, source, open)));
         }
     });
     HttpResponse::Ok()
@@ -311,6 +327,30 @@
     }
 }
 
+/// Replaces the host list, after its lag.
+async fn set_hosts(body: web::Json<Value>, data: Data) -> HttpResponse {
+    let lag = Duration::from_millis(data.lock().faults.host_list_lag_ms);
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(lag).await;
+        let mut inner = data.lock();
+        inner.version += 1;
+        let slice = json!({
+            "apiVersion": "discovery.k8s.io/v1",
+            "kind": "EndpointSlice",
+            "addressType": "IPv4",
+            "metadata": {
+                "name": "hosts",
+                "resourceVersion": inner.version.to_string(),
+                "labels": {"tarragonrail-kind": "host-list"},
+            },
+            "endpoints": body.into_inner(),
+        });
+        inner.objects.insert(HOST_LIST_KEY.to_owned(), slice.clone());
+        data.emit("MODIFIED", &slice);
+    });
+    HttpResponse::Ok().finish()
+}
+
 async fn set_faults(body: web::Json<Faults>, data: Data) -> HttpResponse {
     data.lock().faults = body.into_inner();
     HttpResponse::Ok().finish()
@@ -333,13 +373,16 @@
         }),
         events: broadcast::Sender::new(WATCH_BACKLOG),
     });
+    let slices = "/apis/discovery.k8s.io/v1/namespaces/{namespace}/endpointslices";
     let maps = "/api/v1/namespaces/{namespace}/configmaps";
     HttpServer::new(move || {
         App::new()
             .app_data(data.clone())
             .app_data(web::JsonConfig::default().limit(2 << 20))
             .route("/_faults", web::post().to(set_faults))
+            .route("/_hosts", web::post().to(set_hosts))
             .route("/_stats", web::get().to(stats))
+            .route(slices, web::get().to(list))
             .service(web::resource(maps).route(web::get().to(list)).route(web::post().to(create)))
             .service(
                 web::resource(format!("{maps}/{{name}}"))
