A connection lost after sending is no failure to connect

The HTTP client reports a connection that ends before the reply as a failure to connect. Service calls, engine calls and platform writes took it as not sent, so a service killed while it ran a keyed call was answered not_run, and the key ran again on the next arrival.

The platform client can also delete on condition of a version, which collection and release of claims need; the stand-in honours the precondition.

--- a/crates/rail_platform/src/client.rs
+++ b/crates/rail_platform/src/client.rs
@@ -2,11 +2,13 @@
 
 use crate::{
     error::{Error, Result},
-    object::{ConfigMap, ConfigMapList, KIND_LABEL, Object, ObjectKind, ObjectVersion},
+    object::{
+        ConfigMap, ConfigMapList, DeleteOptions, KIND_LABEL, Object, ObjectKind, ObjectVersion,
+    },
 };
 use awc::{
     Client, ClientResponse, Connector,
-    error::SendRequestError,
+    error::{ConnectError, SendRequestError},
     http::{Method, StatusCode},
 };
 use std::{
@@ -23,6 +25,9 @@
 /// Namespace that holds the system's objects.
 pub const NAMESPACE: &str = "tarragonrail";
 
+/// Body of a call that sends none.
+const NO_BODY: Option<&ConfigMap> = None;
+
 /// Client of the platform object API; clones share connections and counts.
 #[derive(Clone)]
 pub struct PlatformClient {
@@ -61,7 +66,7 @@
     /// [`Error::NotFound`] when there is none, or a failure of the call.
     pub async fn get(&self, name: &str) -> Result<Object> {
         let url = format!("{}/{name}", self.objects_url);
-        let map: ConfigMap = read_json(self.send(Method::GET, &url, None).await?).await?;
+        let map: ConfigMap = read_json(self.send(Method::GET, &url, NO_BODY).await?).await?;
         Ok(map.into())
     }
 
@@ -102,7 +107,18 @@
     /// [`Error::NotFound`] when there is none, or a failure of the call.
     pub async fn delete(&self, name: &str) -> Result<()> {
         let url = format!("{}/{name}", self.objects_url);
-        self.send(Method::DELETE, &url, None).await?;
+        self.send(Method::DELETE, &url, NO_BODY).await?;
+        Ok(())
+    }
+
+    /// Deletes an object that still has this version.
+    ///
+    /// # Errors
+    /// [`Error::Conflict`] when it has another version, or a failure of the call.
+    pub async fn delete_version(&self, name: &str, expected_version: &str) -> Result<()> {
+        let url = format!("{}/{name}", self.objects_url);
+        let options = DeleteOptions::of_version(expected_version);
+        self.send(Method::DELETE, &url, Some(&options)).await?;
         Ok(())
     }
 
@@ -112,7 +128,7 @@
     /// Any failure of the call.
     pub async fn list(&self, kind: ObjectKind) -> Result<(Vec<Object>, ObjectVersion)> {
         let url = format!("{}?{}", self.objects_url, selector(kind));
-        let list: ConfigMapList = read_json(self.send(Method::GET, &url, None).await?).await?;
+        let list: ConfigMapList = read_json(self.send(Method::GET, &url, NO_BODY).await?).await?;
         let objects = list.items.into_iter().map(Object::from).collect();
         Ok((objects, list.metadata.resource_version))
     }
@@ -127,15 +143,15 @@
             self.objects_url,
             selector(kind)
         );
-        self.send(Method::GET, &url, None).await
+        self.send(Method::GET, &url, NO_BODY).await
     }
 
-    async fn send(
+    async fn send<T: serde::Serialize>(
         &self,
         method: Method,
         url: &str,
-        body: Option<&ConfigMap>,
-    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>> {
+        body: Option<&T>,
+    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<T>>> {
         self.calls.set(self.calls.get() + 1);
         let request = self.http.request(method, url);
         let sent = match body {
@@ -143,6 +159,8 @@
             None => request.send().await,
         };
         let reply = sent.map_err(|error| match error {
+            // A connection that ends before the reply is filed under the failures to connect.
+            SendRequestError::Connect(ConnectError::Disconnected) => Error::ReplyLost,
             SendRequestError::Connect(_) => Error::Connect,
             _ => Error::ReplyLost,
         })?;
--- a/crates/rail_platform/src/object.rs
+++ b/crates/rail_platform/src/object.rs
@@ -78,6 +78,28 @@
     pub labels: BTreeMap<String, String>,
 }
 
+/// Options of a delete that is refused when the object has another version.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+pub(crate) struct DeleteOptions<'a> {
+    api_version: &'static str,
+    kind: &'static str,
+    preconditions: Preconditions<'a>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "camelCase")]
+struct Preconditions<'a> {
+    resource_version: &'a str,
+}
+
+impl<'a> DeleteOptions<'a> {
+    pub(crate) fn of_version(resource_version: &'a str) -> Self {
+        let preconditions = Preconditions { resource_version };
+        Self { api_version: "v1", kind: "DeleteOptions", preconditions }
+    }
+}
+
 #[derive(Debug, Deserialize)]
 pub(crate) struct ConfigMapList {
     pub metadata: Metadata,
--- a/crates/rail_upstream/src/engine.rs
+++ b/crates/rail_upstream/src/engine.rs
@@ -1,6 +1,6 @@
 //! Orders and completions of one engine.
 
-use crate::error::{Error, Result};
+use crate::error::{Error, Result, is_unsent};
 use awc::{
     Client, ClientResponse, Connector,
     error::{PayloadError, SendRequestError},
@@ -179,10 +179,7 @@
 }
 
 fn classify_send(error: &SendRequestError) -> Error {
-    match error {
-        SendRequestError::Connect(_) => Error::Connect,
-        _ => Error::Lost,
-    }
+    if is_unsent(error) { Error::Connect } else { Error::Lost }
 }
 
 fn check_status<S>(reply: ClientResponse<S>) -> Result<ClientResponse<S>> {
--- a/crates/rail_upstream/src/error.rs
+++ b/crates/rail_upstream/src/error.rs
@@ -1,5 +1,7 @@
 //! Failures of calls to upstreams.
 
+use awc::error::{ConnectError, SendRequestError};
+
 /// Result of a call to an upstream.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -26,6 +28,17 @@
     Unreadable,
 }
 
+/// Reports whether no byte of a request was sent.
+///
+/// A connection that ends before the reply counts as sent, although the client library files it
+/// under the failures to connect.
+pub fn is_unsent(error: &SendRequestError) -> bool {
+    match error {
+        SendRequestError::Connect(error) => !matches!(error, ConnectError::Disconnected),
+        _ => false,
+    }
+}
+
 impl Error {
     /// Reports whether the call can't have run.
     pub fn is_not_run(self) -> bool {
--- a/crates/rail_upstream/src/lib.rs
+++ b/crates/rail_upstream/src/lib.rs
@@ -11,7 +11,7 @@
 pub mod prelude {
     pub use crate::{
         engine::{Completion, EngineClient, LoadReport, StreamPart},
-        error::{Error, Result},
+        error::{Error, Result, is_unsent},
     };
 }
 pub use prelude::*;
--- a/crates/tarragon_standin/src/platform.rs
+++ b/crates/tarragon_standin/src/platform.rs
@@ -296,12 +296,23 @@
 async fn delete(
     request: HttpRequest,
     name: web::Path<(String, String)>,
+    body: web::Bytes,
     data: Data,
 ) -> HttpResponse {
     if let Some(refusal) = data.admit(&request, true).await {
         return refusal;
     }
-    let removed = data.lock().objects.remove(&name.1);
+    let options: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let expected = options["preconditions"]["resourceVersion"].as_str();
+    let removed = {
+        let mut inner = data.lock();
+        let current = inner.objects.get(&name.1).map(version_of);
+        if current.is_some() && expected.is_some_and(|e| e.parse().ok() != current) {
+            inner.stats.conflicts += 1;
+            return HttpResponse::Conflict().finish();
+        }
+        inner.objects.remove(&name.1)
+    };
     match removed {
         Some(object) => {
             data.emit("DELETED", &object);
