Keyed requests run at most once over all hosts

A keyed non-idempotent call (services: by method; completions: by their field) is claimed in the platform before dispatch. A reply that is lost is settled by reading the nonce back; the outcome is stored after the run and answers further arrivals on any host. A claim without an outcome is in progress while its holder sends heartbeats and its deadline stands, then unknown and never repeated. Work that provably did not run releases its claim by a conditional delete. Without the platform the call is refused at once.

Keyed work goes on when its caller leaves, so its outcome is stored. A query string of a service call is passed on; it was dropped before.

--- /dev/null
+++ b/crates/rail_request/src/fingerprint.rs
@@ -0,0 +1,63 @@
+//! Fingerprints of request bodies.
+
+use serde::{Deserialize, Serialize};
+use std::{fmt, str::FromStr};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Hash that stands for the content of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct Fingerprint(u128);
+
+/// A text that is not a fingerprint.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("text is not a fingerprint of 32 hexadecimal digits")]
+pub struct FingerprintError;
+
+impl Fingerprint {
+    /// Hashes parts, each with its length, so that moved boundaries change the result.
+    ///
+    /// ```
+    /// use rail_request::Fingerprint;
+    /// assert_ne!(Fingerprint::of([b"ab", b"c".as_slice()]), Fingerprint::of([b"a", b"bc".as_slice()]));
+    /// ```
+    pub fn of<'a>(parts: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        let mut hash = Xxh3::new();
+        for part in parts {
+            hash.update(&(part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        Self(hash.digest128())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = FingerprintError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != 32 {
+            return Err(FingerprintError);
+        }
+        u128::from_str_radix(text, 16).map(Self).map_err(|_error| FingerprintError)
+    }
+}
+
+impl From<Fingerprint> for String {
+    fn from(fingerprint: Fingerprint) -> Self {
+        fingerprint.to_string()
+    }
+}
+
+impl TryFrom<String> for Fingerprint {
+    type Error = FingerprintError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
--- a/crates/rail_request/src/lib.rs
+++ b/crates/rail_request/src/lib.rs
@@ -3,13 +3,22 @@
 //! [`WorkOrder`] is what a gateway submits to the owner of an engine;
 //! [`WorkEvent`]s come back. [`NotRun`] is only ever said when no byte of the
 //! request reached an upstream, or the upstream refused it before running.
+//! [`Claim`] runs a keyed request at most once over all hosts.
 
+pub mod claim;
+pub mod claim_record;
+pub mod fingerprint;
 pub mod outcome;
 pub mod work;
 
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
+        claim::{Claim, ClaimCommand, ClaimEvent, ClaimEventKind, ClaimState, claim_chart},
+        claim_record::{
+            ClaimHolder, ClaimNonce, ClaimRecord, ClaimReply, HolderSight, StoredOutcome,
+        },
+        fingerprint::Fingerprint,
         outcome::{Failed, NotRun, NotRunReason},
         work::{RequestId, WorkEvent, WorkOrder},
     };
--- a/crates/rail_runtime/src/settings.rs
+++ b/crates/rail_runtime/src/settings.rs
@@ -170,6 +170,9 @@
     /// lifetime of an entry-host answer in milliseconds (5000)
     #[options(no_short)]
     pub entry_lifetime_ms: Option<String>,
+    /// time for which claims of keyed requests are kept, in milliseconds (3600000)
+    #[options(no_short)]
+    pub claim_retention_ms: Option<String>,
     /// placement policy: rendezvous, hash-lru, hash-lfu, least-loaded or no-permits
     #[options(no_short)]
     pub policy: Option<String>,
@@ -212,6 +215,8 @@
     pub heartbeat: Duration,
     /// Lifetime of an entry-host answer.
     pub entry_lifetime: Duration,
+    /// Time for which claims of keyed requests are kept.
+    pub claim_retention: Duration,
     /// Name of the placement policy.
     pub policy: String,
     /// Log level specification.
@@ -264,6 +269,7 @@
         let ip: ParsedIp = reader.required("ip", flags.ip);
         let platform: ParsedSocket = reader.required("platform", flags.platform);
         let lifetime_ms = reader.or("entry-lifetime-ms", flags.entry_lifetime_ms, 5000_u64);
+        let retention_ms = reader.or("claim-retention-ms", flags.claim_retention_ms, 3_600_000_u64);
         let settings = Self {
             host: reader.required("host", flags.host),
             zone: reader.required("zone", flags.zone),
@@ -279,6 +285,7 @@
             session_ttl: Duration::from_millis(session_ttl_ms),
             heartbeat: Duration::from_millis(heartbeat_ms),
             entry_lifetime: Duration::from_millis(lifetime_ms),
+            claim_retention: Duration::from_millis(retention_ms),
             policy: reader.or("policy", flags.policy, "rendezvous".to_owned()),
             log_level: reader.or("log-level", flags.log_level, "info".to_owned()),
             log_format: if format == "text" { LogFormat::Text } else { LogFormat::Json },
--- a/crates/rail_testfleet/src/caller.rs
+++ b/crates/rail_testfleet/src/caller.rs
@@ -16,6 +16,8 @@
     pub max_tokens: u32,
     /// Further fields of the body.
     pub fields: Value,
+    /// Idempotency key, if any.
+    pub key: Option<String>,
 }
 
 /// How a request ended, as its caller saw it.
@@ -45,7 +47,7 @@
     /// Asks for one answer of this model.
     pub fn new(model: &str, max_tokens: u32) -> Self {
         let prompt = "when does the ferry leave".to_owned();
-        Self { model: model.to_owned(), prompt, max_tokens, fields: json!({}) }
+        Self { model: model.to_owned(), prompt, max_tokens, fields: json!({}), key: None }
     }
 
     /// Gives the whole text that the engine stand-in produces for this request.
@@ -118,11 +120,50 @@
             body.extend(fields.clone());
         }
         let client = awc::Client::builder().timeout(Duration::from_secs(120)).finish();
-        let request = client.post(format!("{caller_url}/v1/completions"));
+        let mut request = client.post(format!("{caller_url}/v1/completions"));
+        if let Some(key) = &self.key {
+            request = request.insert_header(("idempotency-key", key.as_str()));
+        }
         request.send_json(&body).await.map_err(drop)
     }
 }
 
+/// A call of the plain service `feed` that may run at most once.
+#[derive(Debug, Clone)]
+pub struct Post {
+    /// Idempotency key, if any.
+    pub key: Option<String>,
+    /// Body, which the stand-in records and gives back.
+    pub body: String,
+}
+
+impl Post {
+    /// Prepares a keyed call.
+    pub fn keyed(key: &str, body: &str) -> Self {
+        Self { key: Some(key.to_owned()), body: body.to_owned() }
+    }
+
+    /// Sends the call; the text of a whole answer is its JSON body.
+    pub async fn send(&self, caller_url: &str) -> Answer {
+        let client = awc::Client::builder().timeout(Duration::from_secs(120)).finish();
+        let mut request = client.post(format!("{caller_url}/v1/services/feed/alerts"));
+        if let Some(key) = &self.key {
+            request = request.insert_header(("idempotency-key", key.as_str()));
+        }
+        let Ok(mut reply) = request.send_body(self.body.clone()).await else {
+            return Answer::Unreachable;
+        };
+        let Ok(body) = reply.body().limit(16 << 20).await else {
+            return Answer::Lost;
+        };
+        let data: Value = serde_json::from_slice(&body).unwrap_or_default();
+        if data["reason"].is_string() {
+            return problem(&data);
+        }
+        Answer::Whole { model: String::new(), text: String::from_utf8_lossy(&body).into_owned() }
+    }
+}
+
 type Chunk = Result<bytes::Bytes, awc::error::PayloadError>;
 
 fn problem(body: &Value) -> Answer {
--- a/crates/rail_testfleet/src/lib.rs
+++ b/crates/rail_testfleet/src/lib.rs
@@ -14,7 +14,7 @@
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
-        caller::{Answer, Ask},
+        caller::{Answer, Ask, Post},
         fleet::{FleetPlan, TestFleet},
         process::Process,
     };
--- /dev/null
+++ b/crates/rail_testfleet/tests/at_most_once.rs
@@ -0,0 +1,245 @@
+//! Keyed requests run at most once, with real processes.
+
+use futures_util::future::{join, join_all};
+use rail_testfleet::{Answer, Ask, FleetPlan, Post, TestFleet};
+use serde_json::{Value, json};
+use std::{collections::BTreeMap, time::Duration};
+
+fn plan(services: u8) -> FleetPlan {
+    FleetPlan { engines: 1, services, adapters: 1, ..FleetPlan::default() }
+}
+
+fn refusal(reason: &str, ran: &str) -> Answer {
+    Answer::Problem { reason: reason.to_owned(), ran: ran.to_owned() }
+}
+
+async fn pause(milliseconds: u64) {
+    actix_rt::time::sleep(Duration::from_millis(milliseconds)).await;
+}
+
+/// Counts executions of each key over all instances.
+async fn executions(fleet: &TestFleet, services: u8) -> BTreeMap<String, u32> {
+    let mut counts = BTreeMap::new();
+    for number in 1..=services {
+        let stats = fleet.stats(&format!("service{number}")).await;
+        for execution in stats["executions"].as_array().into_iter().flatten() {
+            let key = execution["idempotency_key"].as_str().unwrap_or("none");
+            *counts.entry(key.to_owned()).or_default() += 1;
+        }
+    }
+    counts
+}
+
+#[actix_rt::test]
+async fn a_key_runs_once_over_all_hosts() {
+    let fleet = TestFleet::start(plan(2));
+    let post = Post::keyed("k1", "platform 2 is closed");
+    let first = post.send(&fleet.caller_url(1)).await;
+    assert!(matches!(&first, Answer::Whole { .. }), "{first:?}");
+    for host in [1, 2, 3] {
+        assert_eq!(post.send(&fleet.caller_url(host)).await, first, "host{host}");
+    }
+    let other = Post::keyed("k1", "platform 3 is closed").send(&fleet.caller_url(2)).await;
+    assert_eq!(other, refusal("idempotency_key_reused", "no"));
+    assert_eq!(executions(&fleet, 2).await, BTreeMap::from([("k1".to_owned(), 1)]));
+}
+
+#[actix_rt::test]
+async fn a_second_arrival_learns_that_the_first_is_in_progress() {
+    let fleet = TestFleet::start(plan(1));
+    fleet.set_faults("service1", json!({"delay_ms": 1500})).await;
+    let post = Post::keyed("k1", "x");
+    let url = fleet.caller_url(1);
+    let (first, second) = join(post.send(&url), async {
+        pause(700).await;
+        post.send(&fleet.caller_url(2)).await
+    })
+    .await;
+    assert_eq!(second, refusal("in_progress", "unknown"));
+    assert_eq!(post.send(&fleet.caller_url(3)).await, first);
+    assert_eq!(executions(&fleet, 1).await["k1"], 1);
+}
+
+#[actix_rt::test]
+async fn many_arrivals_at_once_run_once() {
+    let fleet = TestFleet::start(plan(2));
+    let urls: Vec<String> = (1..=3).map(|host| fleet.caller_url(host)).collect();
+    let posts: Vec<Post> = (0..20).map(|n| Post::keyed(&format!("k{}", n % 5), "x")).collect();
+    let sends = posts.iter().enumerate().map(|(n, post)| post.send(&urls[n % 3]));
+    join_all(sends).await;
+    let counts = executions(&fleet, 2).await;
+    assert_eq!(counts.len(), 5);
+    assert!(counts.values().all(|count| *count == 1), "{counts:?}");
+}
+
+#[actix_rt::test]
+async fn a_lost_reply_of_the_claim_is_settled_by_reading_back() {
+    let fleet = TestFleet::start(plan(1));
+    fleet.set_faults("platform", json!({"lose_write_replies": 1})).await;
+    let post = Post::keyed("k1", "x");
+    let first = post.send(&fleet.caller_url(1)).await;
+    assert!(matches!(&first, Answer::Whole { .. }), "{first:?}");
+    assert_eq!(post.send(&fleet.caller_url(2)).await, first);
+    assert_eq!(executions(&fleet, 1).await["k1"], 1);
+}
+
+#[actix_rt::test]
+async fn without_the_platform_nothing_runs() {
+    let fleet = TestFleet::start(plan(1));
+    fleet.set_faults("platform", json!({"down": true})).await;
+    let post = Post::keyed("k1", "x");
+    let refused = post.send(&fleet.caller_url(1)).await;
+    assert_eq!(refused, refusal("platform_unavailable", "no"));
+    assert!(executions(&fleet, 1).await.is_empty());
+    fleet.set_faults("platform", json!({})).await;
+    let answer = post.send(&fleet.caller_url(1)).await;
+    assert!(matches!(&answer, Answer::Whole { .. }), "{answer:?}");
+    assert_eq!(executions(&fleet, 1).await["k1"], 1);
+}
+
+#[actix_rt::test]
+async fn an_outcome_is_stored_after_an_outage() {
+    let fleet = TestFleet::start(plan(1));
+    fleet.set_faults("service1", json!({"delay_ms": 1000})).await;
+    let post = Post::keyed("k1", "x");
+    let url = fleet.caller_url(1);
+    let (first, ()) = join(post.send(&url), async {
+        pause(500).await;
+        fleet.set_faults("platform", json!({"down": true})).await;
+    })
+    .await;
+    assert!(matches!(&first, Answer::Whole { .. }), "{first:?}");
+    let during = post.send(&fleet.caller_url(2)).await;
+    assert_eq!(during, refusal("platform_unavailable", "no"));
+    fleet.set_faults("platform", json!({})).await;
+    pause(6000).await;
+    assert_eq!(post.send(&fleet.caller_url(2)).await, first);
+    assert_eq!(executions(&fleet, 1).await["k1"], 1);
+}
+
+#[actix_rt::test]
+async fn work_that_was_refused_can_be_sent_again() {
+    let fleet = TestFleet::start(plan(1));
+    fleet.set_faults("service1", json!({"refuse": true})).await;
+    let post = Post::keyed("k1", "x");
+    let refused = post.send(&fleet.caller_url(1)).await;
+    assert_eq!(refused, refusal("refused_by_upstream", "no"));
+    assert!(executions(&fleet, 1).await.is_empty());
+    fleet.set_faults("service1", json!({})).await;
+    let answer = post.send(&fleet.caller_url(2)).await;
+    assert!(matches!(&answer, Answer::Whole { .. }), "{answer:?}");
+    assert_eq!(executions(&fleet, 1).await["k1"], 1);
+}
+
+/// What the callers of one key saw, joined with what the service saw.
+#[derive(Debug)]
+struct Joined {
+    first: Answer,
+    later: Vec<Answer>,
+    runs_before_kill: u32,
+    runs: u32,
+}
+
+/// Kills a process after this time and sends the same key to the other hosts until it is settled.
+async fn kill_during(name: &str, after_ms: u64) -> Joined {
+    let mut fleet = TestFleet::start(plan(1));
+    fleet.set_faults("service1", json!({"delay_ms": 1000})).await;
+    fleet.set_faults("platform", json!({"write_delay_ms": 300})).await;
+    let post = Post::keyed("k1", "x");
+    let url = fleet.caller_url(1);
+    let kill = async {
+        pause(after_ms).await;
+        let runs = runs_of(&fleet).await;
+        fleet.kill(name);
+        runs
+    };
+    let (first, runs_before_kill) = join(post.send(&url), kill).await;
+    if name == "service1" {
+        fleet.start_process(name);
+        pause(300).await;
+    }
+    let mut later = Vec::new();
+    for host in [2, 3] {
+        let mut answer = post.send(&fleet.caller_url(host)).await;
+        for _ in 0..60 {
+            if answer != refusal("in_progress", "unknown") {
+                break;
+            }
+            pause(500).await;
+            answer = post.send(&fleet.caller_url(host)).await;
+        }
+        later.push(answer);
+    }
+    // A killed service forgets what it ran.
+    let forgotten = if name == "service1" { runs_before_kill } else { 0 };
+    let runs = runs_of(&fleet).await + forgotten;
+    Joined { first, later, runs_before_kill, runs }
+}
+
+async fn runs_of(fleet: &TestFleet) -> u32 {
+    executions(fleet, 1).await.get("k1").copied().unwrap_or(0)
+}
+
+#[actix_rt::test]
+async fn a_gateway_that_dies_at_any_step_never_makes_a_key_run_twice() {
+    // Claim on its way, claimed and dispatched, running, storing the outcome, stored.
+    for after_ms in [100, 500, 1000, 1450, 2200] {
+        let joined = kill_during("host1/gateway", after_ms).await;
+        assert!(joined.runs <= 1, "{after_ms}: {joined:?}");
+        for answer in &joined.later {
+            let is_run = matches!(answer, Answer::Whole { .. });
+            let is_unknown = *answer == refusal("unknown_outcome", "unknown");
+            assert!(is_run || is_unknown, "{after_ms}: {joined:?}");
+            assert!(!is_run || joined.runs == 1, "{after_ms}: {joined:?}");
+        }
+        assert!(!matches!(joined.first, Answer::Problem { .. }), "{after_ms}: {joined:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_service_that_dies_at_any_step_never_makes_a_key_run_twice() {
+    for after_ms in [100, 700, 1200] {
+        let joined = kill_during("service1", after_ms).await;
+        assert!(joined.runs <= 1, "{after_ms}: {joined:?}");
+        if matches!(&joined.first, Answer::Problem { ran, .. } if ran == "no") {
+            assert_eq!(joined.runs_before_kill, 0, "{after_ms}: {joined:?}");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_keyed_completion_runs_once() {
+    let fleet = TestFleet::start(plan(1));
+    let mut ask = Ask::new("llama:a0@v1", 5);
+    ask.fields = json!({"idempotent": false});
+    ask.key = Some("c1".to_owned());
+    let first = ask.send(&fleet.caller_url(1)).await;
+    assert!(ask.is_answered_by(&first), "{first:?}");
+    assert_eq!(ask.send(&fleet.caller_url(2)).await, first);
+    let mut streamed = ask.clone();
+    streamed.key = Some("c2".to_owned());
+    let first = streamed.stream(&fleet.caller_url(3)).await;
+    assert!(ask.is_answered_by(&first), "{first:?}");
+    assert_eq!(streamed.stream(&fleet.caller_url(1)).await, first);
+    let runs = fleet.stats("engine1").await["executions"].as_array().map_or(0, Vec::len);
+    assert_eq!(runs, 2);
+}
+
+#[actix_rt::test]
+async fn old_claims_are_collected() {
+    let mut plan = plan(1);
+    plan.variables.insert("TARRAGON_CLAIM_RETENTION_MS".into(), "1".into());
+    let fleet = TestFleet::start(plan);
+    let mut ask = Ask::new("llama:a0@v1", 1);
+    ask.fields = json!({"idempotent": false, "deadline_ms": 1000});
+    ask.key = Some("c1".to_owned());
+    ask.send(&fleet.caller_url(1)).await;
+    pause(3000).await;
+    let url = format!(
+        "{}/api/v1/namespaces/tarragonrail/configmaps?labelSelector=tarragonrail-kind%3Dclaim",
+        fleet.standin_url("platform")
+    );
+    let mut reply = awc::Client::default().get(url).send().await.expect("platform answers");
+    let list: Value = reply.json().await.expect("list is JSON");
+    assert_eq!(list["items"], json!([]));
+}
--- a/crates/tarragon_gateway/src/caller.rs
+++ b/crates/tarragon_gateway/src/caller.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     Gateway,
+    claims::{KeptAnswer, Keyed, scoped_key},
     entry::list_entry_hosts,
     problem::{Problem, Result},
     route::{Answer, Part},
@@ -11,7 +12,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use rail_config::{ModelName, Urgency};
-use rail_request::{RequestId, WorkOrder};
+use rail_request::{Fingerprint, RequestId, WorkOrder};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::time::Duration;
@@ -87,16 +88,24 @@
     Chat,
 }
 
-async fn complete(gateway: Data, body: web::Payload) -> Result<HttpResponse> {
+async fn complete(gateway: Data, request: HttpRequest, body: web::Payload) -> Result<HttpResponse> {
     let body: CompletionBody = read_body(&gateway, body).await?;
-    answer(gateway, body.model, body.prompt, body.options, Shape::Completion).await
+    let asked = Asked {
+        model: body.model,
+        prompt: body.prompt,
+        options: body.options,
+        shape: Shape::Completion,
+    };
+    answer(gateway, &request, asked).await
 }
 
-async fn chat(gateway: Data, body: web::Payload) -> Result<HttpResponse> {
+async fn chat(gateway: Data, request: HttpRequest, body: web::Payload) -> Result<HttpResponse> {
     let body: ChatBody = read_body(&gateway, body).await?;
     let lines: Vec<String> =
         body.messages.iter().map(|m| format!("{}: {}", m.role, m.content)).collect();
-    answer(gateway, body.model, lines.join("\n"), body.options, Shape::Chat).await
+    let prompt = lines.join("\n");
+    let asked = Asked { model: body.model, prompt, options: body.options, shape: Shape::Chat };
+    answer(gateway, &request, asked).await
 }
 
 async fn read_body<T: serde::de::DeserializeOwned>(
@@ -105,7 +114,7 @@
 ) -> Result<T> {
     let result = read_json(body).await;
     if let Err(problem) = &result {
-        gateway.metrics.refusals.count(&problem.reason());
+        gateway.count_problem(problem);
     }
     result
 }
@@ -119,29 +128,79 @@
     serde_json::from_slice(&bytes).map_err(|error| Problem::Body(error.to_string()))
 }
 
-async fn answer(
-    gateway: Data,
+/// A request for one answer.
+#[derive(Debug)]
+struct Asked {
     model: String,
     prompt: String,
     options: Options,
     shape: Shape,
-) -> Result<HttpResponse> {
-    let result = start_answer(&gateway, &model, prompt, &options).await;
-    let (id, answer) = result.inspect_err(|problem| count_problem(&gateway, problem))?;
-    if options.stream {
-        return Ok(stream_answer(gateway, id, model, answer, shape));
-    }
-    let text = collect(answer).await.inspect_err(|problem| count_problem(&gateway, problem))?;
+}
+
+async fn answer(gateway: Data, request: &HttpRequest, asked: Asked) -> Result<HttpResponse> {
+    let key = request.headers().get("idempotency-key");
+    let result = match key {
+        Some(key) if !asked.options.idempotent => {
+            answer_once(&gateway, key.as_bytes(), &asked).await
+        }
+        _ if asked.options.stream => answer_stream(gateway.clone(), asked).await,
+        _ => answer_whole(&gateway, asked).await,
+    };
+    result.inspect_err(|problem| gateway.count_problem(problem))
+}
+
+async fn answer_whole(gateway: &Gateway, asked: Asked) -> Result<HttpResponse> {
+    let order = read_order(gateway, &asked)?;
+    let id = order.request_id;
+    let text = collect(gateway.submit(order).await?).await?;
     gateway.metrics.answers.inc();
-    Ok(HttpResponse::Ok().json(whole(id, &model, &text, shape)))
+    Ok(HttpResponse::Ok().json(whole(id, &asked.model, &text, asked.shape)))
 }
 
-async fn start_answer(
-    gateway: &Gateway,
-    model: &str,
-    prompt: String,
-    options: &Options,
-) -> Result<(RequestId, Answer)> {
+async fn answer_stream(gateway: Data, asked: Asked) -> Result<HttpResponse> {
+    let order = read_order(&gateway, &asked)?;
+    let id = order.request_id;
+    let answer = gateway.submit(order).await?;
+    Ok(stream_answer(gateway, id, asked.model, answer, asked.shape))
+}
+
+/// Answers a keyed request that runs at most once; a stream has its whole text in one event.
+async fn answer_once(gateway: &Gateway, key: &[u8], asked: &Asked) -> Result<HttpResponse> {
+    let order = read_order(gateway, asked)?;
+    let keyed = Keyed {
+        key: scoped_key(&format!("completion/{}", order.caller), key)?,
+        fingerprint: asked.fingerprint(),
+        deadline: order.deadline,
+    };
+    let (id, model, shape) = (order.request_id, asked.model.clone(), asked.shape);
+    let stream = asked.options.stream;
+    let work = {
+        let gateway = gateway.clone();
+        async move {
+            let text = collect(gateway.submit(order).await?).await?;
+            gateway.metrics.answers.inc();
+            let (content_type, body) = if stream {
+                let data = chunk(id, &model, &text, shape);
+                ("text/event-stream", format!("data: {data}\n\ndata: [DONE]\n\n"))
+            } else {
+                ("application/json", whole(id, &model, &text, shape).to_string())
+            };
+            let content_type = Some(content_type.to_owned());
+            Ok(KeptAnswer { status: 200, content_type, body: body.into() })
+        }
+    };
+    gateway.run_keyed(keyed, work).await.map(HttpResponse::from)
+}
+
+impl Asked {
+    fn fingerprint(&self) -> Fingerprint {
+        let options = format!("{:?}/{:?}", self.options, self.shape);
+        Fingerprint::of([self.model.as_bytes(), self.prompt.as_bytes(), options.as_bytes()])
+    }
+}
+
+fn read_order(gateway: &Gateway, asked: &Asked) -> Result<WorkOrder> {
+    let Asked { model, prompt, options, .. } = asked;
     let name: ModelName = model.parse()?;
     gateway.check_configuration()?;
     let urgency = match options.urgency {
@@ -157,19 +216,17 @@
         Urgency::Urgent => URGENT_DEADLINE,
         Urgency::Deferrable => DEFERRABLE_DEADLINE,
     };
-    let order = WorkOrder {
+    Ok(WorkOrder {
         request_id: rand::random(),
         engine: String::new(),
-        model: model.to_owned(),
-        prompt,
+        model: model.clone(),
+        prompt: prompt.clone(),
         max_tokens,
         urgent: urgency == Urgency::Urgent,
         idempotent: options.idempotent,
         caller: options.user.clone().unwrap_or_default(),
         deadline: options.deadline_ms.map_or(default_deadline, Duration::from_millis),
-    };
-    let id = order.request_id;
-    Ok((id, gateway.submit(order, &name.base).await?))
+    })
 }
 
 async fn collect(mut answer: Answer) -> Result<String> {
@@ -204,7 +261,7 @@
                     ("data: [DONE]\n\n".to_owned(), None)
                 }
                 Err(problem) => {
-                    count_problem(&gateway, &problem);
+                    gateway.count_problem(&problem);
                     let data = serde_json::to_string(&problem.body()).unwrap_or_default();
                     (format!("event: error\ndata: {data}\n\n"), None)
                 }
@@ -236,10 +293,13 @@
     json!({"id": format!("{id:032x}"), "object": object, "model": model, "choices": [choice]})
 }
 
-fn count_problem(gateway: &Gateway, problem: &Problem) {
-    match problem {
-        Problem::Failed(failed) => gateway.metrics.failures.count(&failed.to_string()),
-        _ => gateway.metrics.refusals.count(&problem.reason()),
+impl Gateway {
+    /// Counts the reason of a request without an answer.
+    pub fn count_problem(&self, problem: &Problem) {
+        match problem {
+            Problem::Failed(failed) => self.metrics.failures.count(&failed.to_string()),
+            _ => self.metrics.refusals.count(&problem.reason()),
+        }
     }
 }
 
--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -2,9 +2,12 @@
 //!
 //! [`caller`] holds the HTTP handlers, [`route`] finds the owner of a
 //! candidate engine and follows the answer, [`services`] passes calls to
-//! plain upstreams, [`problem`] writes errors.
+//! plain upstreams, [`claims`] runs keyed requests at most once, [`collect`]
+//! removes old claims, [`problem`] writes errors.
 
 mod caller;
+mod claims;
+mod collect;
 mod entry;
 mod metrics;
 mod problem;
@@ -49,6 +52,8 @@
     pub config: ConfigFollower,
     /// Owners of engines.
     pub owners: WatchCache,
+    /// Platform object API.
+    pub platform: PlatformClient,
     /// Known processes.
     pub gossip: Gossip,
     /// Links to schedulers.
@@ -81,6 +86,7 @@
         let gateway = Self {
             config: ConfigFollower::spawn(platform.clone()),
             owners: WatchCache::spawn(platform.clone(), ObjectKind::Owner),
+            platform: platform.clone(),
             services: services::Services::default(),
             settings: shared.settings,
             gossip: shared.gossip,
@@ -91,6 +97,7 @@
         };
         let sessions = WatchCache::spawn(platform, ObjectKind::Session);
         actix_rt::spawn(gateway.clone().follow_peers(sessions));
+        actix_rt::spawn(collect::collect_claims(gateway.clone()));
         gateway
     }
 
--- a/crates/tarragon_gateway/src/metrics.rs
+++ b/crates/tarragon_gateway/src/metrics.rs
@@ -14,6 +14,8 @@
     pub failures: Reasons,
     /// Attempts at another candidate, by reason.
     pub retries: Reasons,
+    /// Arrivals of keyed requests and calls for their claims, by what came of them.
+    pub claims: Reasons,
 }
 
 impl GatewayMetrics {
@@ -24,6 +26,7 @@
             refusals: metrics.reasons("gateway_refusals", "Requests refused"),
             failures: metrics.reasons("gateway_failures", "Requests that failed after dispatch"),
             retries: metrics.reasons("gateway_retries", "Attempts at another candidate"),
+            claims: metrics.reasons("gateway_claims", "Arrivals of keyed requests"),
         }
     }
 }
--- a/crates/tarragon_gateway/src/problem.rs
+++ b/crates/tarragon_gateway/src/problem.rs
@@ -1,11 +1,15 @@
 //! Errors as callers see them: problem details with a stable reason.
 
+use crate::claims::KeptAnswer;
 use actix_web::{HttpResponse, ResponseError, http::StatusCode};
 use rail_config::{ModelNameError, ResolveError};
 use rail_request::{Failed, NotRun, NotRunReason};
 use serde::Serialize;
 use std::time::Duration;
 
+/// When a caller should come back after work that may have run.
+const FAILED_RETRY: Duration = Duration::from_secs(1);
+
 /// Result of a caller's request.
 pub type Result<T> = std::result::Result<T, Problem>;
 
@@ -30,6 +34,21 @@
     /// The request was not run.
     #[error("{0}")]
     NotRun(#[from] NotRun),
+    /// Another arrival of the key was answered.
+    #[error("answered before")]
+    Stored(KeptAnswer),
+    /// Another arrival of the key was answered; the answer is not kept.
+    #[error("answered before; the answer is not kept")]
+    AnswerNotKept,
+    /// Another arrival of the key is in progress.
+    #[error("in progress")]
+    InProgress {
+        /// When to look again.
+        retry_after: Duration,
+    },
+    /// The key was used for another request.
+    #[error("idempotency key was used for another request")]
+    KeyReused,
     /// The request may have run and has no whole answer.
     #[error("failed: {0}")]
     Failed(Failed),
@@ -47,7 +66,7 @@
     pub status: u16,
     /// Stable reason for programs.
     pub reason: String,
-    /// Whether the request ran: `no`, or `unknown`.
+    /// Whether the request ran: `no`, `yes` or `unknown`.
     pub ran: &'static str,
     /// When to come back, in milliseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -66,6 +85,10 @@
             Self::Unknown(ResolveError::UnknownVersion) => "unknown_version".to_owned(),
             Self::UnknownService => "unknown_service".to_owned(),
             Self::NotRun(not_run) => not_run.reason.to_string(),
+            Self::Stored(_) => "stored_answer".to_owned(),
+            Self::AnswerNotKept => "answer_not_kept".to_owned(),
+            Self::InProgress { .. } => "in_progress".to_owned(),
+            Self::KeyReused => "idempotency_key_reused".to_owned(),
             Self::Failed(failed) => failed.to_string(),
         }
     }
@@ -77,15 +100,25 @@
             kind: format!("/problems/{reason}"),
             title: self.to_string(),
             status: self.status_code().as_u16(),
-            ran: if matches!(self, Self::Failed(_)) { "unknown" } else { "no" },
+            ran: self.ran(),
             retry_after_ms: self.retry_after().map(|time| time.as_millis() as u64),
             reason,
         }
     }
 
+    fn ran(&self) -> &'static str {
+        match self {
+            Self::Failed(_) | Self::InProgress { .. } => "unknown",
+            Self::Stored(_) | Self::AnswerNotKept => "yes",
+            _ => "no",
+        }
+    }
+
     fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::NotRun(not_run) => Some(not_run.retry_after),
+            Self::InProgress { retry_after } => Some(*retry_after),
+            Self::Failed(_) => Some(FAILED_RETRY),
             _ => None,
         }
     }
@@ -102,11 +135,17 @@
                 NotRunReason::Quarantined => StatusCode::UNPROCESSABLE_ENTITY,
                 _ => StatusCode::SERVICE_UNAVAILABLE,
             },
+            Self::Stored(_) => StatusCode::OK,
+            Self::AnswerNotKept | Self::InProgress { .. } => StatusCode::CONFLICT,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
             Self::Failed(_) => StatusCode::BAD_GATEWAY,
         }
     }
 
     fn error_response(&self) -> HttpResponse {
+        if let Self::Stored(answer) = self {
+            return answer.clone().into();
+        }
         let mut response = HttpResponse::build(self.status_code());
         if let Some(time) = self.retry_after() {
             let seconds = time.as_secs_f64().ceil() as u64;
--- a/crates/tarragon_gateway/src/route.rs
+++ b/crates/tarragon_gateway/src/route.rs
@@ -77,12 +77,13 @@
     ///
     /// # Errors
     /// [`Problem::NotRun`] when no owner took it, [`Problem::Failed`] when one may have run it.
-    pub async fn submit(&self, mut order: WorkOrder, base: &str) -> Result<Answer> {
+    pub async fn submit(&self, mut order: WorkOrder) -> Result<Answer> {
         let started = Instant::now();
+        let base = order.model.split(':').next().unwrap_or_default().to_owned();
         let deadline = order.deadline;
         let mut last = NotRun { reason: NotRunReason::NoOwner, retry_after: NO_OWNER_RETRY };
         for _pass in 0..MAX_PASSES {
-            for (engine, owner) in self.candidates(&order.model, base) {
+            for (engine, owner) in self.candidates(&order.model, &base) {
                 let Some(left) = deadline.checked_sub(started.elapsed()) else {
                     let reason = NotRunReason::Deadline;
                     return Err(NotRun { reason, retry_after: NO_OWNER_RETRY }.into());
--- a/crates/tarragon_gateway/src/services.rs
+++ b/crates/tarragon_gateway/src/services.rs
@@ -1,9 +1,20 @@
 //! Passes calls to plain upstreams.
 
-use crate::{Gateway, problem::Problem, problem::Result};
-use actix_web::{HttpRequest, HttpResponse, http::StatusCode, web};
+use crate::{
+    Gateway,
+    claims::{KeptAnswer, Keyed, scoped_key},
+    problem::{Problem, Result},
+};
+use actix_web::{
+    HttpRequest, HttpResponse,
+    http::{Method, StatusCode, header::HeaderValue},
+    web,
+};
 use awc::{Client, Connector, error::SendRequestError};
-use rail_request::{Failed, NotRun, NotRunReason};
+use bytes::Bytes;
+use rail_config::Upstream;
+use rail_request::{Failed, Fingerprint, NotRun, NotRunReason};
+use rail_upstream::is_unsent;
 use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
 
 /// Time in which a plain service must answer.
@@ -62,7 +73,17 @@
     }
 }
 
-/// Passes one call to the least loaded instance of a service, once.
+/// A call of a plain service, as its caller sent it.
+#[derive(Debug, Clone)]
+struct ServiceCall {
+    service: String,
+    method: Method,
+    path_and_query: String,
+    headers: Vec<(&'static str, HeaderValue)>,
+    body: Bytes,
+}
+
+/// Passes one call to an instance of a service.
 pub async fn call_service(
     gateway: web::Data<Gateway>,
     request: HttpRequest,
@@ -70,65 +91,103 @@
     body: web::Payload,
 ) -> Result<HttpResponse> {
     let (service, path) = path.into_inner();
-    let result = pass_call(&gateway, &request, &service, &path, body).await;
+    let result = pass_call(&gateway, &request, service, &path, body).await;
     match &result {
         Ok(_) => {
             gateway.metrics.answers.inc();
         }
-        Err(Problem::Failed(failed)) => gateway.metrics.failures.count(&failed.to_string()),
-        Err(problem) => gateway.metrics.refusals.count(&problem.reason()),
+        Err(problem) => gateway.count_problem(problem),
     }
-    result
+    result.map(HttpResponse::from)
 }
 
 async fn pass_call(
     gateway: &Gateway,
     request: &HttpRequest,
-    service: &str,
+    service: String,
     path: &str,
     body: web::Payload,
-) -> Result<HttpResponse> {
+) -> Result<KeptAnswer> {
     let body = body
         .to_bytes_limited(crate::MAX_BODY_BYTES)
         .await
         .map_err(|_limit| Problem::TooLarge)?
         .map_err(|error| Problem::Body(error.to_string()))?;
     gateway.check_configuration()?;
-    let fleet = gateway.config.current();
-    let (name, upstream) = fleet
-        .services_of(service)
-        .min_by_key(|(name, _)| gateway.services.calls_on(name))
-        .ok_or(Problem::UnknownService)?;
-    let _in_flight = gateway.services.start_call(name);
-    let url = format!("http://{}/{path}", upstream.address);
-    let mut call = gateway.services.http.request(request.method().clone(), url);
-    for header in PASSED_HEADERS {
-        if let Some(value) = request.headers().get(header) {
-            call = call.insert_header((header, value.clone()));
+    let call = ServiceCall::read(request, service, path, body);
+    let key = request.headers().get("idempotency-key");
+    match key {
+        Some(key) if !call.method.is_idempotent() => {
+            let scope = format!("service/{}", call.service);
+            let key = scoped_key(&scope, key.as_bytes())?;
+            let keyed = Keyed { key, fingerprint: call.fingerprint(), deadline: CALL_TIMEOUT };
+            let gateway = gateway.clone();
+            gateway.clone().run_keyed(keyed, async move { call.send(&gateway).await }).await
         }
+        _ => call.send(gateway).await,
     }
-    let mut reply = call.send_body(body).await.map_err(|error| classify(&error))?;
-    if reply.status() == StatusCode::SERVICE_UNAVAILABLE {
-        let reason = NotRunReason::RefusedByUpstream;
-        return Err(NotRun { reason, retry_after: RETRY_AFTER }.into());
+}
+
+impl ServiceCall {
+    fn read(request: &HttpRequest, service: String, path: &str, body: Bytes) -> Self {
+        let query = request.query_string();
+        let separator = if query.is_empty() { "" } else { "?" };
+        let headers = PASSED_HEADERS
+            .iter()
+            .filter_map(|name| Some((*name, request.headers().get(*name)?.clone())))
+            .collect();
+        Self {
+            service,
+            method: request.method().clone(),
+            path_and_query: format!("{path}{separator}{query}"),
+            headers,
+            body,
+        }
     }
-    let bytes = reply
-        .body()
-        .limit(crate::MAX_BODY_BYTES)
-        .await
-        .map_err(|_lost| Problem::Failed(Failed::UnknownOutcome))?;
-    let mut response = HttpResponse::build(reply.status());
-    if let Some(content_type) = reply.headers().get("content-type") {
-        response.insert_header(("content-type", content_type.clone()));
+
+    fn fingerprint(&self) -> Fingerprint {
+        let parts = [self.method.as_str(), &self.service, &self.path_and_query];
+        Fingerprint::of(parts.iter().map(|part| part.as_bytes()).chain([&*self.body]))
+    }
+
+    /// Sends the call to the least loaded instance, once.
+    async fn send(&self, gateway: &Gateway) -> Result<KeptAnswer> {
+        let fleet = gateway.config.current();
+        let (name, upstream) = fleet
+            .services_of(&self.service)
+            .min_by_key(|(name, _)| gateway.services.calls_on(name))
+            .ok_or(Problem::UnknownService)?;
+        let _in_flight = gateway.services.start_call(name);
+        self.send_to(gateway, upstream).await
+    }
+
+    async fn send_to(&self, gateway: &Gateway, upstream: &Upstream) -> Result<KeptAnswer> {
+        let url = format!("http://{}/{}", upstream.address, self.path_and_query);
+        let mut call = gateway.services.http.request(self.method.clone(), url);
+        for (name, value) in &self.headers {
+            call = call.insert_header((*name, value.clone()));
+        }
+        let sent = call.send_body(self.body.clone()).await;
+        let mut reply = sent.map_err(|error| classify(&error))?;
+        if reply.status() == StatusCode::SERVICE_UNAVAILABLE {
+            let reason = NotRunReason::RefusedByUpstream;
+            return Err(NotRun { reason, retry_after: RETRY_AFTER }.into());
+        }
+        let body = reply
+            .body()
+            .limit(crate::MAX_BODY_BYTES)
+            .await
+            .map_err(|_lost| Problem::Failed(Failed::UnknownOutcome))?;
+        let content_type = reply.headers().get("content-type");
+        let content_type = content_type.and_then(|value| Some(value.to_str().ok()?.to_owned()));
+        Ok(KeptAnswer { status: reply.status().as_u16(), content_type, body })
     }
-    Ok(response.body(bytes))
 }
 
 fn classify(error: &SendRequestError) -> Problem {
-    match error {
-        SendRequestError::Connect(_) => {
-            NotRun { reason: NotRunReason::Unreachable, retry_after: RETRY_AFTER }.into()
-        }
-        _ => Problem::Failed(Failed::UnknownOutcome),
+    if is_unsent(error) {
+        NotRun { reason: NotRunReason::Unreachable, retry_after: RETRY_AFTER }.into()
+    } else {
+        Problem::Failed(Failed::UnknownOutcome)
     }
 }
