--- a/crates/rail_platform/src/client.rs
+++ b/crates/rail_platform/src/client.rs
@@ -3,11 +3,13 @@
 use crate::{
     budget::{BURST_CALLS, CALLS_PER_S, CallBudget},
     error::{Error, Result},
-    object::{ConfigMap, ConfigMapList, KIND_LABEL, Object, ObjectKind, ObjectVersion},
+    object::{
+        ConfigMap, ConfigMapList, DeleteOptions, KIND_LABEL, Object, ObjectKind, ObjectVersion,
+    },
 };
 use awc::{
     Client, ClientResponse, Connector,
-    error::SendRequestError,
+    error::{ConnectError, SendRequestError},
     http::{Method, StatusCode},
 };
 use prometheus_client::metrics::gauge::Gauge;
@@ -24,6 +26,9 @@
 /// Largest reply that is read, in bytes.
 pub const MAX_REPLY_BYTES: usize = 64 << 20;
 
+/// Body of a call that sends none.
+const NO_BODY: Option<&ConfigMap> = None;
+
 /// Client of the platform object API; clones share connections and counts.
 #[derive(Clone)]
 pub struct PlatformClient {
@@ -106,7 +111,7 @@
     /// [`Error::NotFound`] when there is none, or a failure of the call.
     pub async fn get(&self, name: &str) -> Result<Object> {
         let url = self.object_url(name);
-        let map: ConfigMap = read_json(self.send(Method::GET, &url, None).await?).await?;
+        let map: ConfigMap = read_json(self.send(Method::GET, &url, NO_BODY).await?).await?;
         Ok(map.into())
     }
 
@@ -147,7 +152,18 @@
     /// [`Error::NotFound`] when there is none, or a failure of the call.
     pub async fn delete(&self, name: &str) -> Result<()> {
         let url = self.object_url(name);
-        self.send(Method::DELETE, &url, None).await?;
+        self.send(Method::DELETE, &url, NO_BODY).await?;
+        Ok(())
+    }
+
+    /// Deletes an object that still has this version.
+    ///
+    /// # Errors
+    /// [`Error::Conflict`] when it has another version, or a failure of the call.
+    pub async fn delete_version(&self, name: &str, expected_version: &str) -> Result<()> {
+        let url = self.object_url(name);
+        let options = DeleteOptions::of_version(expected_version);
+        self.send(Method::DELETE, &url, Some(&options)).await?;
         Ok(())
     }
 
@@ -157,7 +173,7 @@
     /// Any failure of the call.
     pub async fn list(&self, kind: ObjectKind) -> Result<(Vec<Object>, ObjectVersion)> {
         let url = format!("{}?{}", self.kind_url(kind), selector(kind));
-        let list: ConfigMapList = read_json(self.send(Method::GET, &url, None).await?).await?;
+        let list: ConfigMapList = read_json(self.send(Method::GET, &url, NO_BODY).await?).await?;
         let objects = list.items.into_iter().map(Object::from).collect();
         Ok((objects, list.metadata.resource_version))
     }
@@ -175,18 +191,18 @@
             self.kind_url(kind),
             selector(kind)
         );
-        let reply = self.send(Method::GET, &url, None).await?;
+        let reply = self.send(Method::GET, &url, NO_BODY).await?;
         self.budget.borrow_mut().open_watch(self.now());
         self.show_watches();
         Ok((reply, OpenWatch(self.clone())))
     }
 
-    async fn send(
+    async fn send<T: serde::Serialize>(
         &self,
         method: Method,
         url: &str,
-        body: Option<&ConfigMap>,
-    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>> {
+        body: Option<&T>,
+    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<T>>> {
         self.wait_for_budget().await;
         self.calls.set(self.calls.get() + 1);
         self.count(method.as_str());
@@ -239,18 +255,20 @@
         }
     }
 
-    async fn send_now(
+    async fn send_now<T: serde::Serialize>(
         &self,
         method: Method,
         url: &str,
-        body: Option<&ConfigMap>,
-    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<>>> {
+        body: Option<&T>,
+    ) -> Result<ClientResponse<impl futures_util::Stream<Item = WatchChunk> + Unpin + use<T>>> {
         let request = self.http.request(method, url);
         let sent = match body {
             Some(body) => request.send_json(body).await,
             None => request.send().await,
         };
         let reply = sent.map_err(|error| match error {
+            // A connection that ends before the reply is filed under the failures to connect.
+            SendRequestError::Connect(ConnectError::Disconnected) => Error::ReplyLost,
             SendRequestError::Connect(_) => Error::Connect,
             _ => Error::ReplyLost,
         })?;
--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -2,10 +2,13 @@
 //!
 //! [`caller`] holds the HTTP handlers, [`route`] finds the owner of a
 //! candidate engine and follows the answer, [`load`] counts requests in
-//! progress, [`services`] passes calls to
-//! plain upstreams, [`problem`] writes errors.
+//! progress, [`services`] passes calls to plain upstreams, [`claims`] runs
+//! keyed requests at most once, [`collect`] removes old claims, [`problem`]
+//! writes errors.
 
 mod caller;
+mod claims;
+mod collect;
 mod entry;
 mod load;
 mod metrics;
@@ -57,6 +60,8 @@
     pub config: ConfigFollower,
     /// Owners of engines.
     pub owners: WatchCache,
+    /// Platform object API.
+    pub platform: PlatformClient,
     /// Known processes.
     pub gossip: Gossip,
     /// Links to schedulers.
@@ -92,6 +97,7 @@
         let gateway = Self {
             config: ConfigFollower::spawn(platform.clone()),
             owners: WatchCache::spawn(platform.clone(), ObjectKind::Owner),
+            platform: platform.clone(),
             services: services::Services::default(),
             settings: shared.settings,
             gossip: shared.gossip,
@@ -109,6 +115,7 @@
             gateway.gossip.clone(),
             gateway.peers.clone(),
         ));
+        actix_rt::spawn(collect::collect_claims(gateway.clone()));
         gateway
     }
 
