Placement: slot tickets, engine planner, load permits by their owner

Cause: Residency::clear after a crash followed by a late release of a request of the old boot lowered the in_use count of a new request, so an adapter in use could be evicted. Late ends of loads and evictions had the same fault.

Change: uses, loads and evictions hold a ticket with the serial of their slot; a ticket of another slot does nothing and is counted. Slot states step by charts/residency.toml. Victims go by decayed demand, waiting work and reload cost; failed loads back off per adapter with jitter; adopted adapters are pinned until idle; load reports asked before the last change correct nothing. Loads need a permit of the owner of the resource load-budget, which grants urgent loads first from a bucket that starts empty; without an answer a scheduler takes from its static share. The engine module is split: queue, orders, permits, run.

--- a/crates/rail_peer/src/lib.rs
+++ b/crates/rail_peer/src/lib.rs
@@ -18,7 +18,7 @@
         client::{PeerClient, ReplyStream},
         error::{Error, Result},
         gossip::Gossip,
-        message::{PeerReply, PeerRequest},
+        message::{PeerReply, PeerRequest, PermitReply, PermitRequest},
         server::{Incoming, PeerServer, ReplySender},
     };
 }
--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -11,6 +11,28 @@
     Heartbeats(Vec<Heartbeat>),
     /// Run a request on an engine that the receiver owns.
     Work(WorkOrder),
+    /// Grant a permit for one load; the load ends when the sender drops the call.
+    LoadPermit(PermitRequest),
+}
+
+/// A load that waits for its permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// Whether urgent work waits for the load.
+    pub urgent: bool,
+    /// Worth of the load in thousandths; greater goes first.
+    pub worth_milli: u64,
+}
+
+/// Progress of a request for a load permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitReply {
+    /// It waits for its turn.
+    Queued,
+    /// The load may start.
+    Granted,
+    /// The receiver does not own the load budget.
+    NotOwner,
 }
 
 /// What comes back.
@@ -20,4 +42,6 @@
     Heartbeats(Vec<Heartbeat>),
     /// Progress of a request.
     Work(WorkEvent),
+    /// Progress of a request for a load permit.
+    LoadPermit(PermitReply),
 }
--- a/crates/rail_place/src/budget.rs
+++ b/crates/rail_place/src/budget.rs
@@ -21,20 +21,45 @@
     pub fn set_rate(&mut self, rate_per_s: f64, burst: f64) {
         self.rate_per_s = rate_per_s;
         self.burst = burst;
+        self.tokens = self.tokens.min(burst);
     }
 
-    /// Takes one permit, or tells how long to wait for one.
-    ///
-    /// # Errors
-    /// Returns the time after which a permit is free.
-    pub fn try_take(&mut self, now: Duration) -> Result<(), Duration> {
+    /// Adds the tokens of the time since the last call.
+    pub fn refill(&mut self, now: Duration) {
         let elapsed_s = now.saturating_sub(self.updated_at).as_secs_f64();
         self.tokens = (self.tokens + elapsed_s * self.rate_per_s).min(self.burst);
         self.updated_at = now;
-        if self.tokens >= 1.0 {
+    }
+
+    /// Takes one permit while at least `needed` tokens are saved, or tells how long to wait.
+    ///
+    /// # Errors
+    /// Returns the time after which that many tokens are saved.
+    pub fn take(&mut self, needed: f64) -> Result<(), Duration> {
+        let wait = self.wait(needed);
+        if wait.is_zero() {
             self.tokens -= 1.0;
             return Ok(());
         }
-        Err(Duration::from_secs_f64((1.0 - self.tokens) / self.rate_per_s))
+        Err(wait)
+    }
+
+    /// Takes one permit, or tells how long to wait for one.
+    ///
+    /// # Errors
+    /// Returns the time after which a permit is free.
+    pub fn try_take(&mut self, now: Duration) -> Result<(), Duration> {
+        self.refill(now);
+        self.take(1.0)
+    }
+
+    /// Gives the time until this many tokens are saved.
+    pub fn wait(&self, needed: f64) -> Duration {
+        // Nanoseconds are rounded up, so that a wait never ends just before its token.
+        let missing = needed - self.tokens;
+        if missing <= f64::EPSILON * needed {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(missing / self.rate_per_s) + Duration::from_nanos(1)
     }
 }
--- a/crates/rail_place/src/lib.rs
+++ b/crates/rail_place/src/lib.rs
@@ -2,18 +2,41 @@
 //!
 //! [`rank_engines`] orders candidates by rendezvous hash. [`Residency`]
 //! decides what an engine loads and evicts and never picks an adapter that is
-//! in use. [`LoadBudget`] keeps loads within the weight store's rate.
+//! in use. [`EnginePlanner`] decides what an engine runs and loads next by
+//! the weights of an [`Objective`], [`PermitOwner`] keeps the loads of all
+//! engines within the weight store's limits, and [`choose_engines`] spreads
+//! hot adapters. [`Policy`] selects between these decisions and baselines.
+//!
+//! All are plain state machines: times come in, decisions go out.
 
+pub mod backoff;
 pub mod budget;
+pub mod demand;
+pub mod error;
+pub mod objective;
+pub mod permit;
+pub mod planner;
+pub mod policy;
 pub mod rendezvous;
 pub mod residency;
+pub mod slot;
+pub mod width;
 
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
+        backoff::Backoff,
         budget::LoadBudget,
+        demand::Demand,
+        error::{Error, Result},
+        objective::{InvalidWeights, Objective},
+        permit::{PermitAsk, PermitId, PermitOwner, StoreLimits},
+        planner::{EnginePlanner, EngineShape, LoadWish, Plan, WorkItem},
+        policy::{Eviction, Policy, UnknownPolicy},
         rendezvous::rank_engines,
-        residency::{Admission, Residency},
+        residency::{AdapterKey, Admission, Residency, SlotTicket},
+        slot::{SlotEvent, SlotState},
+        width::{Width, WidthController, WidthHints, choose_engines},
     };
 }
 pub use prelude::*;
--- a/crates/rail_runtime/src/settings.rs
+++ b/crates/rail_runtime/src/settings.rs
@@ -173,6 +173,9 @@
     /// placement policy: rendezvous, hash-lru, hash-lfu, least-loaded or no-permits
     #[options(no_short)]
     pub policy: Option<String>,
+    /// weights of load stalls and full batches in placement (1,1)
+    #[options(no_short)]
+    pub weights: Option<String>,
     /// log level specification (info)
     #[options(no_short)]
     pub log_level: Option<String>,
@@ -214,6 +217,8 @@
     pub entry_lifetime: Duration,
     /// Name of the placement policy.
     pub policy: String,
+    /// Weights of load stalls and full batches in placement.
+    pub weights: String,
     /// Log level specification.
     pub log_level: String,
     /// Log line format.
@@ -280,6 +285,7 @@
             heartbeat: Duration::from_millis(heartbeat_ms),
             entry_lifetime: Duration::from_millis(lifetime_ms),
             policy: reader.or("policy", flags.policy, "rendezvous".to_owned()),
+            weights: reader.or("weights", flags.weights, "1,1".to_owned()),
             log_level: reader.or("log-level", flags.log_level, "info".to_owned()),
             log_format: if format == "text" { LogFormat::Text } else { LogFormat::Json },
         };
--- /dev/null
+++ b/crates/tarragon_scheduler/src/engine/run.rs
@@ -0,0 +1,89 @@
+//! Runs one dispatched request and forwards its events.
+
+use super::{Events, LOAD_RETRY};
+use crate::metrics::SchedulerMetrics;
+use futures_util::StreamExt;
+use rail_request::{Failed, NotRun, NotRunReason, WorkEvent, WorkOrder};
+use rail_upstream::{Completion, EngineClient, StreamPart};
+
+/// Priority of deferrable work at the engine; urgent work has 0.
+const DEFERRABLE_PRIORITY: i32 = 10;
+
+/// One request on the engine.
+pub(super) struct Run {
+    pub(super) client: EngineClient,
+    pub(super) fence: u64,
+    pub(super) order: WorkOrder,
+    pub(super) events: Events,
+    pub(super) metrics: SchedulerMetrics,
+}
+
+impl Run {
+    /// Runs the request to its end and reports how it ended.
+    pub(super) async fn complete(self) {
+        let last = self.stream().await;
+        match &last {
+            WorkEvent::Final { .. } => {
+                self.metrics.answers.inc();
+            }
+            WorkEvent::NotRun(not_run) => self.metrics.refusals.count(&not_run.reason.to_string()),
+            WorkEvent::Failed(failed) => self.metrics.failures.count(&failed.to_string()),
+            WorkEvent::Dispatched | WorkEvent::Token { .. } => {}
+        }
+        if self.events.send(last).await.is_err() {
+            self.cancel().await;
+        }
+    }
+
+    /// Streams the answer; gives the event that ends the request.
+    async fn stream(&self) -> WorkEvent {
+        let completion = Completion {
+            model: self.order.model.clone(),
+            prompt: self.order.prompt.clone(),
+            max_tokens: self.order.max_tokens,
+            stream: true,
+            priority: if self.order.urgent { 0 } else { DEFERRABLE_PRIORITY },
+        };
+        if self.events.send(WorkEvent::Dispatched).await.is_err() {
+            return WorkEvent::Failed(Failed::UnknownOutcome);
+        }
+        let started = self.client.complete(&completion, self.order.request_id, self.fence).await;
+        let mut parts = match started {
+            Ok(parts) => parts,
+            Err(error) if error.is_not_run() => {
+                let reason = NotRunReason::RefusedByUpstream;
+                return WorkEvent::NotRun(NotRun { reason, retry_after: LOAD_RETRY });
+            }
+            Err(rail_upstream::Error::Failed(_)) => {
+                return WorkEvent::Failed(Failed::UpstreamFailed);
+            }
+            Err(_) => return WorkEvent::Failed(Failed::UnknownOutcome),
+        };
+        let mut expected = 0;
+        while let Some(part) = parts.next().await {
+            match part {
+                Ok(StreamPart::Token { offset, model, text }) if offset == expected => {
+                    if model != self.order.model {
+                        self.cancel().await;
+                        return WorkEvent::Failed(Failed::WrongAdapter);
+                    }
+                    expected += 1;
+                    let token = WorkEvent::Token { offset, model, text };
+                    if self.events.send(token).await.is_err() {
+                        self.cancel().await;
+                        return WorkEvent::Failed(Failed::UnknownOutcome);
+                    }
+                }
+                Ok(StreamPart::End) => return WorkEvent::Final { tokens: expected },
+                Ok(StreamPart::Token { .. }) | Err(_) => break,
+            }
+        }
+        WorkEvent::Failed(Failed::UnknownOutcome)
+    }
+
+    async fn cancel(&self) {
+        if let Err(error) = self.client.cancel(self.order.request_id).await {
+            log::debug!("cancellation failed: {error}");
+        }
+    }
+}
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -10,6 +10,7 @@
 mod serve;
 mod session;
 
+use engine::{permit::PermitBroker, settings::PlacementSettings};
 use rail_lease::SessionRecord;
 use rail_member::{Heartbeat, Role};
 use rail_peer::{Gossip, PeerClient, PeerServer};
@@ -27,6 +28,10 @@
     Keys(#[from] rail_runtime::keys::Error),
     #[error(transparent)]
     Peer(#[from] rail_peer::Error),
+    #[error("--policy: {0}")]
+    Policy(#[from] rail_place::UnknownPolicy),
+    #[error("--weights: {0}")]
+    Weights(#[from] rail_place::InvalidWeights),
 }
 
 #[actix_web::main]
@@ -40,10 +45,12 @@
     let address = SocketAddr::new(settings.ip, settings.peer_port);
     let (server, incoming) = PeerServer::bind(address, &keys)?;
     let client = PeerClient::open(settings.ip, &keys)?;
+    PlacementSettings { policy: settings.policy.parse()?, objective: settings.weights.parse()? }
+        .install();
     let platform = PlatformClient::open(settings.platform, settings.ip);
     let config = ConfigFollower::spawn(platform.clone());
     let own = Heartbeat::start(&settings.host, &settings.zone, Role::Scheduler);
-    let gossip = Gossip::spawn(client, own, settings.heartbeat);
+    let gossip = Gossip::spawn(client.clone(), own, settings.heartbeat);
     let record = SessionRecord {
         session_id: rand::random(),
         host: settings.host.clone(),
@@ -63,6 +70,7 @@
         gossip.clone(),
         counters.clone(),
     );
+    PermitBroker::spawn(clock, client, session.clone(), config.clone(), counters.clone());
     http::spawn(SocketAddr::new(settings.ip, settings.metrics_port), registry)?;
     serve::spawn(incoming, session.clone(), gossip.clone(), config, counters);
     log::info!("scheduler of {} listens on {address}", settings.host);
--- a/crates/tarragon_scheduler/src/metrics.rs
+++ b/crates/tarragon_scheduler/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use prometheus_client::metrics::{counter::Counter, gauge::Gauge};
 use rail_runtime::{Metrics, metrics::Reasons};
+use std::time::Duration;
 
 /// Counters and gauges of the scheduler.
 #[derive(Debug, Clone)]
@@ -16,6 +17,14 @@
     pub loads: Reasons,
     /// Adapter evictions.
     pub evictions: Counter,
+    /// Load permits, by where they came from.
+    pub permits: Reasons,
+    /// Steps of placement that were no longer possible, by reason.
+    pub undone_steps: Reasons,
+    /// Dispatched requests that had waited for their adapter, by class.
+    pub stalled: Reasons,
+    /// Time in milliseconds that dispatched requests had waited for their adapter.
+    pub stall_ms: Counter,
     /// Session events, by kind.
     pub session_events: Reasons,
     /// Engines owned.
@@ -31,8 +40,21 @@
             failures: metrics.reasons("scheduler_failures", "Requests that failed after dispatch"),
             loads: metrics.reasons("scheduler_loads", "Adapter loads by result"),
             evictions: metrics.counter("scheduler_evictions", "Adapter evictions"),
+            permits: metrics.reasons("scheduler_permits", "Load permits by origin"),
+            undone_steps: metrics
+                .reasons("scheduler_undone_steps", "Placement steps no longer possible"),
+            stalled: metrics.reasons("scheduler_stalled", "Requests that waited for a load"),
+            stall_ms: metrics.counter("scheduler_stall_ms", "Time spent waiting for loads"),
             session_events: metrics.reasons("scheduler_session_events", "Session events"),
             owned_engines: metrics.gauge("scheduler_owned_engines", "Engines owned"),
         }
     }
+
+    /// Counts the time that a dispatched request had waited for its adapter.
+    pub fn count_stall(&self, urgent: bool, stall: Duration) {
+        if !stall.is_zero() {
+            self.stalled.count(if urgent { "urgent" } else { "deferrable" });
+            self.stall_ms.inc_by(stall.as_millis() as u64);
+        }
+    }
 }
--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -1,6 +1,10 @@
 //! Answers the calls of peers.
 
-use crate::{engine::Submit, metrics::SchedulerMetrics, session::Session};
+use crate::{
+    engine::{Submit, permit::PermitBroker},
+    metrics::SchedulerMetrics,
+    session::Session,
+};
 use rail_config::ModelName;
 use rail_peer::{Gossip, Incoming, PeerReply, PeerRequest, ReplySender};
 use rail_platform::ConfigFollower;
@@ -32,6 +36,11 @@
                         }
                     });
                 }
+                PeerRequest::LoadPermit(request) => {
+                    if let Some(broker) = PermitBroker::current() {
+                        actix_rt::spawn(broker.serve(request, replies));
+                    }
+                }
                 PeerRequest::Work(order) => {
                     let events = submit(order, &session, &config, &metrics);
                     actix_rt::spawn(forward(events, replies));
--- a/crates/tarragon_scheduler/src/session.rs
+++ b/crates/tarragon_scheduler/src/session.rs
@@ -1,7 +1,7 @@
 //! Keeps the session alive and takes engines.
 
 use crate::{
-    engine::{Drain, EngineActor, Stop},
+    engine::{Drain, EngineActor, Stop, permit::LOAD_BUDGET},
     metrics::SchedulerMetrics,
 };
 use actix::{Actor, Addr};
@@ -249,7 +249,9 @@
         let live: Vec<_> = self.state.observer.borrow().live().cloned().collect();
         let fleet = self.state.config.current();
         let engines = fleet.upstreams.iter().filter(|(_, u)| u.kind == UpstreamKind::Engine);
-        let resources = engines.map(|(name, u)| (name.clone(), u.zone.clone())).collect();
+        let mut resources: BTreeMap<_, _> =
+            engines.map(|(name, u)| (name.clone(), u.zone.clone())).collect();
+        resources.insert(LOAD_BUDGET.to_owned(), String::new());
         let owners = self.stored_owners();
         for command in plan_ownership(&me, &live, &resources, &owners) {
             let platform = &self.state.platform;
@@ -325,6 +327,18 @@
         });
     }
 
+    /// Gives the stored owner of a resource.
+    pub fn resource_owner(&self, resource: &str) -> Option<OwnershipRecord> {
+        let object = self.state.owners.find(&owner_name(resource))?;
+        let record: OwnershipRecord = serde_json::from_str(&object.value).ok()?;
+        (!record.released).then_some(record)
+    }
+
+    /// Reports whether a stored ownership names this session.
+    pub fn is_own(&self, record: &OwnershipRecord) -> bool {
+        record.session_id == self.state.holder.borrow().record().session_id
+    }
+
     /// Counts sessions that share the weight store's budget.
     pub fn live_sessions(&self) -> usize {
         self.state.observer.borrow().live().count().max(1)
