--- a/crates/rail_peer/src/configuration.rs
+++ b/crates/rail_peer/src/configuration.rs
@@ -128,7 +128,9 @@
             PeerReply::ConfigurationSegment { name, text } => {
                 snapshot.segments.insert(name, text);
             }
-            PeerReply::Heartbeats(_) | PeerReply::Work(_) => return Err(Error::Unreadable),
+            PeerReply::Heartbeats(_) | PeerReply::Work(_) | PeerReply::LoadPermit(_) => {
+                return Err(Error::Unreadable);
+            }
         }
     }
     Ok(snapshot)
--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -18,6 +18,28 @@
         /// Segments that the sender has.
         known_segments: Vec<String>,
     },
+    /// Grant a permit for one load; the load ends when the sender drops the call.
+    LoadPermit(PermitRequest),
+}
+
+/// A load that waits for its permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PermitRequest {
+    /// Whether urgent work waits for the load.
+    pub urgent: bool,
+    /// Worth of the load in thousandths; greater goes first.
+    pub worth_milli: u64,
+}
+
+/// Progress of a request for a load permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitReply {
+    /// It waits for its turn.
+    Queued,
+    /// The load may start.
+    Granted,
+    /// The receiver does not own the load budget.
+    NotOwner,
 }
 
 /// What comes back.
@@ -36,4 +58,6 @@
         /// JSON text.
         text: String,
     },
+    /// Progress of a request for a load permit.
+    LoadPermit(PermitReply),
 }
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -11,6 +11,7 @@
 mod serve;
 mod session;
 
+use engine::{permit::PermitBroker, settings::PlacementSettings};
 use rail_lease::SessionRecord;
 use rail_member::{Heartbeat, Role};
 use rail_peer::{Gossip, PeerClient, PeerServer, follow_configuration};
@@ -28,6 +29,10 @@
     Keys(#[from] rail_runtime::keys::Error),
     #[error(transparent)]
     Peer(#[from] rail_peer::Error),
+    #[error("--policy: {0}")]
+    Policy(#[from] rail_place::UnknownPolicy),
+    #[error("--weights: {0}")]
+    Weights(#[from] rail_place::InvalidWeights),
 }
 
 #[actix_web::main]
@@ -41,6 +46,8 @@
     let address = SocketAddr::new(settings.ip, settings.peer_port);
     let (server, incoming) = PeerServer::bind(address, &keys)?;
     let client = PeerClient::open(settings.ip, &keys)?.with_metrics(&registry);
+    PlacementSettings { policy: settings.policy.parse()?, objective: settings.weights.parse()? }
+        .install();
     let platform = PlatformClient::open(settings.platform, settings.ip).with_metrics(&registry);
     let config = ConfigFollower::spawn(platform.clone());
     let mut own = Heartbeat::start(&settings.host, &settings.zone, Role::Scheduler);
@@ -48,7 +55,7 @@
     let gossip = Gossip::spawn(client.clone(), own, settings.heartbeat);
     gossip.set_seeds(settings.seeds());
     let hosts = HostList::spawn(platform.clone());
-    actix_rt::spawn(follow_configuration(config.clone(), hosts, gossip.clone(), client));
+    actix_rt::spawn(follow_configuration(config.clone(), hosts, gossip.clone(), client.clone()));
     let record = SessionRecord {
         session_id: rand::random(),
         host: settings.host.clone(),
@@ -68,6 +75,7 @@
         gossip.clone(),
         counters.clone(),
     );
+    PermitBroker::spawn(clock, client, session.clone(), config.clone(), counters.clone());
     http::spawn(SocketAddr::new(settings.ip, settings.metrics_port), registry)?;
     leaving::spawn(session.clone(), config.clone());
     serve::spawn(incoming, session.clone(), gossip.clone(), config, counters);
