Operator tool: fleet files, quarantine, store budget, roles and live keys

Cause: the command line could only register one thing a call, every failure looked alike, any certificate of the fleet could change the configuration, and new keys needed a restart.

The schema gains SetStoreBudget, ListQuarantine and ReleaseQuarantine. Certificates carry a role as organizational unit; the admin process lets only operators change, operators and read-only read; the peer endpoint takes hosts only. Key files are read again each second and used for new connections. Client certificates are refused with one alert whatever the cause, which is counted. The admin process serves its metrics on 7405.

Ruled out: removing what a file does not name (a partial file would then drain a fleet); a role in the common name (names are free text); tonic's own TLS (its identity can't be replaced while serving).

--- a/crates/rail_config/src/change.rs
+++ b/crates/rail_config/src/change.rs
@@ -1,7 +1,9 @@
 //! Changes that operators submit.
 
 use crate::{
-    fleet::{AdapterId, Base, BaseId, Fleet, Upstream, UpstreamId, UpstreamKind, Urgency},
+    fleet::{
+        AdapterId, Base, BaseId, Fleet, StoreBudget, Upstream, UpstreamId, UpstreamKind, Urgency,
+    },
     model_name::{ModelNameError, check_part},
 };
 use serde::{Deserialize, Serialize};
@@ -56,6 +58,11 @@
         /// Whether it takes no new work.
         leaving: bool,
     },
+    /// Sets what the weight store allows.
+    SetStoreBudget {
+        /// Budget.
+        store_budget: StoreBudget,
+    },
 }
 
 /// Reasons why a change is refused.
@@ -81,6 +88,9 @@
     /// An engine needs at least one slot, and every upstream a batch of at least one.
     #[error("upstream {0:?} has no capacity: slots and batch must be at least 1")]
     NoCapacity(UpstreamId),
+    /// A budget of nothing would stop every load.
+    #[error("store budget allows no load: each value must be at least 1")]
+    EmptyStoreBudget,
 }
 
 impl Change {
@@ -131,6 +141,13 @@
                 let entry = fleet.upstreams.get_mut(name);
                 entry.ok_or_else(|| ChangeError::UnknownUpstream(name.clone()))?.leaving = *leaving;
             }
+            Self::SetStoreBudget { store_budget } => {
+                let StoreBudget { loads_per_s, at_once, in_flight } = *store_budget;
+                if loads_per_s == 0 || at_once == 0 || in_flight == 0 {
+                    return Err(ChangeError::EmptyStoreBudget);
+                }
+                fleet.store_budget = *store_budget;
+            }
         }
         Ok(())
     }
--- a/crates/rail_peer/src/client.rs
+++ b/crates/rail_peer/src/client.rs
@@ -6,12 +6,12 @@
     message::{PeerReply, PeerRequest},
     server::{ALPN, transport},
 };
-use quinn::{Connection, Endpoint, crypto::rustls::QuicClientConfig};
-use rail_runtime::{Keys, keys::FLEET_SERVER_NAME};
+use quinn::{ClientConfig, Connection, Endpoint, crypto::rustls::QuicClientConfig};
+use rail_runtime::{Keys, LiveKeys, keys::FLEET_SERVER_NAME};
 use std::{
     collections::HashMap,
     net::{IpAddr, SocketAddr},
-    sync::Arc,
+    sync::{Arc, PoisonError, RwLock},
     time::Duration,
 };
 use tokio::sync::Mutex;
@@ -23,6 +23,7 @@
 #[derive(Debug, Clone)]
 pub struct PeerClient {
     endpoint: Endpoint,
+    config: Arc<RwLock<ClientConfig>>,
     links: Arc<Mutex<HashMap<SocketAddr, Connection>>>,
 }
 
@@ -48,13 +49,22 @@
     /// # Errors
     /// Fails when the keys are refused or the address can't be bound.
     pub fn open(ip: IpAddr, keys: &Keys) -> Result<Self> {
-        let tls = QuicClientConfig::try_from(keys.client_config(ALPN)?)
-            .map_err(|_error| Error::Cipher)?;
-        let mut config = quinn::ClientConfig::new(Arc::new(tls));
-        config.transport_config(Arc::new(transport()));
-        let mut endpoint = Endpoint::client(SocketAddr::new(ip, 0)).map_err(Error::Bind)?;
-        endpoint.set_default_client_config(config);
-        Ok(Self { endpoint, links: Arc::default() })
+        let config = Arc::new(RwLock::new(client_config(keys)?));
+        let endpoint = Endpoint::client(SocketAddr::new(ip, 0)).map_err(Error::Bind)?;
+        Ok(Self { endpoint, config, links: Arc::default() })
+    }
+
+    /// Uses replaced keys for new links; open links stay.
+    pub fn follow_keys(&self, keys: &LiveKeys) {
+        let (config, mut changes) = (Arc::clone(&self.config), keys.subscribe());
+        tokio::spawn(async move {
+            while changes.changed().await.is_ok() {
+                let keys = changes.borrow_and_update().clone();
+                if let Ok(replaced) = client_config(&keys) {
+                    *config.write().unwrap_or_else(PoisonError::into_inner) = replaced;
+                }
+            }
+        });
     }
 
     /// Sends a request over the link to this peer.
@@ -81,8 +91,11 @@
         {
             return Ok(link.clone());
         }
-        let connecting =
-            self.endpoint.connect(peer, FLEET_SERVER_NAME).map_err(|_error| Error::Connect)?;
+        let config = self.config.read().unwrap_or_else(PoisonError::into_inner).clone();
+        let connecting = self
+            .endpoint
+            .connect_with(config, peer, FLEET_SERVER_NAME)
+            .map_err(|_error| Error::Connect)?;
         let link = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .map_err(|_elapsed| Error::Connect)?
@@ -91,3 +104,11 @@
         Ok(link)
     }
 }
+
+fn client_config(keys: &Keys) -> Result<ClientConfig> {
+    let tls =
+        QuicClientConfig::try_from(keys.client_config(ALPN)?).map_err(|_error| Error::Cipher)?;
+    let mut config = ClientConfig::new(Arc::new(tls));
+    config.transport_config(Arc::new(transport()));
+    Ok(config)
+}
--- a/crates/rail_peer/src/server.rs
+++ b/crates/rail_peer/src/server.rs
@@ -5,8 +5,12 @@
     frame::{self, Writer},
     message::{PeerReply, PeerRequest},
 };
-use quinn::{Connection, Endpoint, IdleTimeout, TransportConfig, crypto::rustls::QuicServerConfig};
-use rail_runtime::Keys;
+use quinn::{
+    Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig,
+    crypto::rustls::QuicServerConfig,
+};
+use rail_runtime::{KeyRole, Keys, LiveKeys};
+use rustls_pki_types::CertificateDer;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::sync::mpsc;
 
@@ -18,6 +22,12 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Interval between packets that keep an idle link open.
 const KEEP_ALIVE: Duration = Duration::from_millis(500);
+/// Handshakes that wait to be accepted; further clients are refused.
+const MAX_HANDSHAKES: usize = 1024;
+/// Bytes buffered for all of them.
+const HANDSHAKE_BUFFER_BYTES: u64 = 4 << 20;
+/// Bytes that one link may hold unread over all its streams.
+const LINK_WINDOW_BYTES: u32 = 16 << 20;
 /// Time in which a peer must send its request after opening a stream.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -70,15 +80,24 @@
     /// # Errors
     /// Fails when the keys are refused or the address can't be bound.
     pub fn bind(address: SocketAddr, keys: &Keys) -> Result<(Self, mpsc::Receiver<Incoming>)> {
-        let tls = QuicServerConfig::try_from(keys.server_config(ALPN)?)
-            .map_err(|_error| Error::Cipher)?;
-        let mut config = quinn::ServerConfig::with_crypto(Arc::new(tls));
-        config.transport_config(Arc::new(transport()));
-        let endpoint = Endpoint::server(config, address).map_err(Error::Bind)?;
+        let endpoint = Endpoint::server(server_config(keys)?, address).map_err(Error::Bind)?;
         let (sender, receiver) = mpsc::channel(INCOMING_QUEUE);
         tokio::spawn(accept_links(endpoint.clone(), sender));
         Ok((Self { endpoint }, receiver))
     }
+
+    /// Uses replaced keys for new links; open links stay.
+    pub fn follow_keys(&self, keys: &LiveKeys) {
+        let (endpoint, mut changes) = (self.endpoint.clone(), keys.subscribe());
+        tokio::spawn(async move {
+            while changes.changed().await.is_ok() {
+                let keys = changes.borrow_and_update().clone();
+                if let Ok(config) = server_config(&keys) {
+                    endpoint.set_server_config(Some(config));
+                }
+            }
+        });
+    }
 }
 
 impl Drop for PeerServer {
@@ -87,11 +106,32 @@
     }
 }
 
+fn server_config(keys: &Keys) -> Result<ServerConfig> {
+    let tls =
+        QuicServerConfig::try_from(keys.server_config(ALPN)?).map_err(|_error| Error::Cipher)?;
+    let mut config = ServerConfig::with_crypto(Arc::new(tls));
+    config.transport_config(Arc::new(transport()));
+    config.max_incoming(MAX_HANDSHAKES);
+    config.incoming_buffer_size_total(HANDSHAKE_BUFFER_BYTES);
+    Ok(config)
+}
+
+/// Tells whether the other side holds a host's certificate; operators call no peers.
+fn is_host(connection: &Connection) -> bool {
+    let identity = connection.peer_identity().and_then(|id| id.downcast().ok());
+    identity.is_some_and(|chain: Box<Vec<CertificateDer<'static>>>| {
+        chain.first().and_then(KeyRole::of_certificate) == Some(KeyRole::Host)
+    })
+}
+
 pub(crate) fn transport() -> TransportConfig {
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(IdleTimeout::try_from(IDLE_TIMEOUT).ok());
     transport.keep_alive_interval(Some(KEEP_ALIVE));
     transport.max_concurrent_bidi_streams(4096_u32.into());
+    transport.max_concurrent_uni_streams(0_u32.into());
+    transport.datagram_receive_buffer_size(None);
+    transport.receive_window(LINK_WINDOW_BYTES.into());
     transport
 }
 
@@ -99,7 +139,9 @@
     while let Some(connecting) = endpoint.accept().await {
         let sender = sender.clone();
         tokio::spawn(async move {
-            if let Ok(connection) = connecting.await {
+            if let Ok(connection) = connecting.await
+                && is_host(&connection)
+            {
                 accept_calls(connection, sender).await;
             }
         });
--- /dev/null
+++ b/crates/rail_runtime/src/authority.rs
@@ -0,0 +1,144 @@
+//! The fleet's certificate authority.
+
+use crate::keys::{Error, FLEET_SERVER_NAME, Keys, Result};
+use rcgen::{
+    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose,
+};
+use rustls_pki_types::CertificateDer;
+use std::{str::FromStr, time::Duration};
+use time::OffsetDateTime;
+use x509_parser::prelude::{FromDer, X509Certificate};
+
+/// Time for which certificates are valid unless another is named.
+pub const DEFAULT_VALIDITY: Duration = Duration::from_secs(365 * 24 * 3600);
+/// Time by which certificates are valid before their issue, for clocks that run behind.
+const CLOCK_SLACK: Duration = Duration::from_secs(3600);
+
+/// What the holder of a certificate may do; stored as its organizational unit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyRole {
+    /// Runs the daemons and calls peers.
+    Host,
+    /// Changes the configuration and reads it.
+    Operator,
+    /// Reads the configuration and the status.
+    ReadOnly,
+}
+
+impl KeyRole {
+    /// Names the role as it stands in certificates.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Host => "host",
+            Self::Operator => "operator",
+            Self::ReadOnly => "read-only",
+        }
+    }
+
+    /// Reads the role from a certificate that TLS has verified.
+    pub fn of_certificate(certificate: &CertificateDer<'_>) -> Option<Self> {
+        let (_rest, parsed) = X509Certificate::from_der(certificate).ok()?;
+        let mut units = parsed.subject().iter_organizational_unit();
+        let role = units.next()?.as_str().ok()?.parse().ok()?;
+        // A second unit would make the role ambiguous.
+        if units.next().is_some() { None } else { Some(role) }
+    }
+}
+
+impl FromStr for KeyRole {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self> {
+        match s {
+            "host" => Ok(Self::Host),
+            "operator" => Ok(Self::Operator),
+            "read-only" => Ok(Self::ReadOnly),
+            _ => Err(Error::Role(s.to_owned())),
+        }
+    }
+}
+
+/// Certificate authority of a fleet.
+#[derive(Debug)]
+pub struct Authority {
+    issuer: Issuer<'static, KeyPair>,
+    ca_pem: String,
+    key_pem: String,
+}
+
+impl Authority {
+    /// Makes a new authority.
+    ///
+    /// # Errors
+    /// Fails when no key can be made.
+    pub fn generate() -> Result<Self> {
+        let key = KeyPair::generate()?;
+        let params = authority_params();
+        let ca_pem = params.self_signed(&key)?.pem();
+        let key_pem = key.serialize_pem();
+        Ok(Self { issuer: Issuer::new(params, key), ca_pem, key_pem })
+    }
+
+    /// Opens an authority that was made before.
+    ///
+    /// # Errors
+    /// Fails when the key is not valid.
+    pub fn open(ca_pem: String, key_pem: String) -> Result<Self> {
+        let key = KeyPair::from_pem(&key_pem)?;
+        Ok(Self { issuer: Issuer::new(authority_params(), key), ca_pem, key_pem })
+    }
+
+    /// Trusts an older authority beside this one, while certificates are exchanged.
+    pub fn trust_also(&mut self, ca_pem: &str) {
+        self.ca_pem.push_str(ca_pem);
+    }
+
+    /// Gives the certificates that the fleet trusts.
+    pub fn ca_pem(&self) -> &str {
+        &self.ca_pem
+    }
+
+    /// Gives the private key, which only the issuing operator keeps.
+    pub fn key_pem(&self) -> &str {
+        &self.key_pem
+    }
+
+    /// Issues the keys of a host under this common name.
+    ///
+    /// # Errors
+    /// Fails when no key can be made.
+    pub fn issue(&self, common_name: &str) -> Result<Keys> {
+        self.issue_as(KeyRole::Host, common_name, DEFAULT_VALIDITY)
+    }
+
+    /// Issues keys with a role, valid for this time from now.
+    ///
+    /// # Errors
+    /// Fails when no key can be made.
+    pub fn issue_as(&self, role: KeyRole, common_name: &str, validity: Duration) -> Result<Keys> {
+        let is_host = role == KeyRole::Host;
+        let names = if is_host { vec![FLEET_SERVER_NAME.to_owned()] } else { Vec::new() };
+        let mut params = CertificateParams::new(names)?;
+        params.distinguished_name.push(DnType::CommonName, common_name);
+        params.distinguished_name.push(DnType::OrganizationalUnitName, role.name());
+        params.extended_key_usages.push(ExtendedKeyUsagePurpose::ClientAuth);
+        if is_host {
+            params.extended_key_usages.push(ExtendedKeyUsagePurpose::ServerAuth);
+        }
+        let now = OffsetDateTime::now_utc();
+        params.not_before = now - CLOCK_SLACK;
+        params.not_after = now + validity;
+        let key = KeyPair::generate()?;
+        let cert_pem = params.signed_by(&key, &self.issuer)?.pem();
+        Ok(Keys::from_pem(self.ca_pem.clone(), cert_pem, key.serialize_pem()))
+    }
+}
+
+fn authority_params() -> CertificateParams {
+    let mut params = CertificateParams::default();
+    params.distinguished_name.push(DnType::CommonName, "tarragonrail fleet authority");
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    params
+}
--- a/crates/rail_runtime/src/keys.rs
+++ b/crates/rail_runtime/src/keys.rs
@@ -1,9 +1,6 @@
-//! TLS keys: the fleet's certificate authority and the material of one process.
+//! TLS keys of one process.
 
-use rcgen::{
-    BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
-    KeyUsagePurpose,
-};
+use crate::{metrics::Reasons, verifier::CountingVerifier};
 use rustls::{
     ClientConfig, RootCertStore, ServerConfig, crypto::ring, server::WebPkiClientVerifier,
 };
@@ -36,6 +33,9 @@
     /// The client verifier can't be built from the authority.
     #[error("authority is not usable: {0}")]
     Verifier(#[from] rustls::server::VerifierBuilderError),
+    /// No role has this name.
+    #[error("no role is named {0:?}: expected host, operator or read-only")]
+    Role(String),
     /// A certificate can't be made.
     #[error("cannot make a certificate: {0}")]
     Generate(#[from] rcgen::Error),
@@ -50,6 +50,15 @@
     pub cert_pem: String,
     /// Private key of this process.
     pub key_pem: String,
+    refused: Option<Reasons>,
+}
+
+impl PartialEq for Keys {
+    fn eq(&self, other: &Self) -> bool {
+        let texts =
+            |keys: &Self| (keys.ca_pem.clone(), keys.cert_pem.clone(), keys.key_pem.clone());
+        texts(self) == texts(other)
+    }
 }
 
 impl fmt::Debug for Keys {
@@ -64,7 +73,18 @@
     /// # Errors
     /// Fails when a file can't be read.
     pub fn open(ca: &str, cert: &str, key: &str) -> Result<Self> {
-        Ok(Self { ca_pem: read_pem(ca)?, cert_pem: read_pem(cert)?, key_pem: read_pem(key)? })
+        Ok(Self::from_pem(read_pem(ca)?, read_pem(cert)?, read_pem(key)?))
+    }
+
+    /// Takes PEM texts.
+    pub fn from_pem(ca_pem: String, cert_pem: String, key_pem: String) -> Self {
+        Self { ca_pem, cert_pem, key_pem, refused: None }
+    }
+
+    /// Counts refused client certificates by reason.
+    pub fn counted(mut self, refused: Reasons) -> Self {
+        self.refused = Some(refused);
+        self
     }
 
     /// Builds a TLS server configuration that demands a client certificate.
@@ -80,7 +100,10 @@
         .build()?;
         let mut config = ServerConfig::builder_with_provider(provider)
             .with_safe_default_protocol_versions()?
-            .with_client_cert_verifier(verifier)
+            .with_client_cert_verifier(Arc::new(CountingVerifier::new(
+                verifier,
+                self.refused.clone(),
+            )))
             .with_single_cert(self.chain()?, self.private_key()?)?;
         config.alpn_protocols = vec![alpn.to_vec()];
         Ok(config)
@@ -124,40 +147,3 @@
     std::fs::read_to_string(Path::new(value))
         .map_err(|source| Error::Read { path: value.to_owned(), source })
 }
-
-/// Certificate authority of a fleet.
-#[derive(Debug)]
-pub struct Authority {
-    issuer: Issuer<'static, KeyPair>,
-    ca_pem: String,
-}
-
-impl Authority {
-    /// Makes a new authority.
-    ///
-    /// # Errors
-    /// Fails when no key can be made.
-    pub fn generate() -> Result<Self> {
-        let mut params = CertificateParams::default();
-        params.distinguished_name.push(DnType::CommonName, "tarragonrail fleet authority");
-        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-        params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
-        let key = KeyPair::generate()?;
-        let ca_pem = params.self_signed(&key)?.pem();
-        Ok(Self { issuer: Issuer::new(params, key), ca_pem })
-    }
-
-    /// Issues the keys of a host or an operator under this common name.
-    ///
-    /// # Errors
-    /// Fails when no key can be made.
-    pub fn issue(&self, common_name: &str) -> Result<Keys> {
-        let mut params = CertificateParams::new(vec![FLEET_SERVER_NAME.to_owned()])?;
-        params.distinguished_name.push(DnType::CommonName, common_name);
-        params.extended_key_usages =
-            vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
-        let key = KeyPair::generate()?;
-        let cert_pem = params.signed_by(&key, &self.issuer)?.pem();
-        Ok(Keys { ca_pem: self.ca_pem.clone(), cert_pem, key_pem: key.serialize_pem() })
-    }
-}
--- a/crates/rail_runtime/src/lib.rs
+++ b/crates/rail_runtime/src/lib.rs
@@ -1,21 +1,28 @@
 //! Settings, logs, metrics, keys and graceful stop shared by all daemons.
 //!
 //! Each daemon calls [`settings::FleetSettings::open`], then
-//! [`logs::start_logging`], builds its TLS configuration from [`keys::Keys`]
-//! and waits on [`stop::StopSignal`].
+//! [`logs::start_logging`], builds its TLS configuration from
+//! [`live_keys::LiveKeys`] and waits on [`stop::StopSignal`].
 
+pub mod authority;
 pub mod clock;
+pub mod exposition;
 pub mod keys;
+pub mod live_keys;
 pub mod logs;
 pub mod metrics;
 pub mod settings;
 pub mod stop;
+mod verifier;
 
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
+        authority::{Authority, KeyRole},
         clock::{MonoTime, MonotonicClock},
+        exposition::spawn_exposition,
         keys::Keys,
+        live_keys::LiveKeys,
         logs::start_logging,
         metrics::Metrics,
         settings::FleetSettings,
--- a/crates/rail_runtime/src/settings.rs
+++ b/crates/rail_runtime/src/settings.rs
@@ -149,6 +149,9 @@
     /// port of the scheduler's metrics (7404)
     #[options(no_short)]
     pub metrics_port: Option<String>,
+    /// port of the admin process's metrics (7405)
+    #[options(no_short)]
+    pub admin_metrics_port: Option<String>,
     /// address of the platform object API, as IP:port
     #[options(no_short)]
     pub platform: Option<String>,
@@ -198,6 +201,8 @@
     pub operator_port: u16,
     /// Port of the scheduler's metrics.
     pub metrics_port: u16,
+    /// Port of the admin process's metrics.
+    pub admin_metrics_port: u16,
     /// Address of the platform object API.
     pub platform: SocketAddr,
     /// Authority certificate, file or text.
@@ -272,6 +277,7 @@
             peer_port: reader.or("peer-port", flags.peer_port, 7402),
             operator_port: reader.or("operator-port", flags.operator_port, 7403),
             metrics_port: reader.or("metrics-port", flags.metrics_port, 7404),
+            admin_metrics_port: reader.or("admin-metrics-port", flags.admin_metrics_port, 7405),
             platform: platform.0,
             ca: reader.required("ca", flags.ca),
             cert: reader.required("cert", flags.cert),
--- a/crates/rail_testfleet/src/fleet.rs
+++ b/crates/rail_testfleet/src/fleet.rs
@@ -4,7 +4,7 @@
     network::Network,
     process::{Process, binary_path},
 };
-use rail_runtime::keys::Authority;
+use rail_runtime::{Authority, KeyRole, authority::DEFAULT_VALIDITY};
 use serde_json::Value;
 use std::{
     collections::BTreeMap,
@@ -236,13 +236,16 @@
     fn make_keys(&self) {
         let authority = Authority::generate().expect("authority");
         let hosts = (1..=self.plan.hosts).map(|number| format!("host{number}"));
-        for name in hosts.chain(["operator".to_owned()]) {
-            let keys = authority.issue(&name).expect("keys");
+        let hosts = hosts.map(|name| (KeyRole::Host, name));
+        let operator = (KeyRole::Operator, "operator".to_owned());
+        for (role, name) in hosts.chain([operator]) {
+            let keys = authority.issue_as(role, &name, DEFAULT_VALIDITY).expect("keys");
             std::fs::write(self.key_path("ca.pem"), &keys.ca_pem).expect("key file");
             std::fs::write(self.key_path(&format!("{name}.pem")), &keys.cert_pem)
                 .expect("key file");
             std::fs::write(self.key_path(&format!("{name}.key")), &keys.key_pem).expect("key file");
         }
+        std::fs::write(self.key_path("ca.key"), authority.key_pem()).expect("key file");
     }
 
     fn variables(&self, host: &str) -> BTreeMap<String, String> {
--- a/crates/tarragon_admin/src/main.rs
+++ b/crates/tarragon_admin/src/main.rs
@@ -1,24 +1,32 @@
 //! Operator RPC: accepts configuration by conditional write.
 //!
-//! [`operator`] serves the schema; [`accept`] turns changes into the next
+//! [`listener`] verifies clients; [`operator`] serves the schema to those whose
+//! certificate has the role; [`quarantine`] reads and releases quarantined
+//! requests; [`accept`] turns changes into the next
 //! generation on the thread that holds the platform client.
 
 mod accept;
+mod listener;
 mod operator;
+mod quarantine;
 
 use rail_api::operator::operator_server::OperatorServer;
 use rail_lease::SessionRecord;
 use rail_member::{Heartbeat, Role};
 use rail_peer::{Gossip, PeerClient};
 use rail_platform::{ConfigFollower, ObjectKind, PlatformClient, WatchCache};
-use rail_runtime::{FleetSettings, Keys, Metrics, StopSignal, start_logging};
+use rail_runtime::{FleetSettings, LiveKeys, Metrics, StopSignal, spawn_exposition, start_logging};
 use std::{net::SocketAddr, time::Duration};
-use tonic::transport::{Certificate, Identity, Server, ServerTlsConfig};
+use tonic::transport::Server;
 
 /// Interval between looks at the addresses of schedulers.
 const PEER_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest time that one operator call may take.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
+/// Calls at once on one connection.
+const MAX_CALLS_PER_CONNECTION: usize = 32;
+/// Largest request in bytes: a fleet file of many adapters in one change.
+const MAX_REQUEST_BYTES: usize = 4 << 20;
 
 #[derive(Debug, thiserror::Error)]
 enum Error {
@@ -39,26 +47,30 @@
     let settings = FleetSettings::open();
     let _logger = start_logging(&settings.log_level, settings.log_format)?;
     let stop = StopSignal::open()?;
-    let keys = Keys::open(&settings.ca, &settings.cert, &settings.key)?;
     let metrics = Metrics::default();
-    let peers = PeerClient::open(settings.ip, &keys)?;
+    let keys = LiveKeys::spawn(&settings.ca, &settings.cert, &settings.key, &metrics)?;
+    let peers = PeerClient::open(settings.ip, &keys.current())?;
+    peers.follow_keys(&keys);
     let own = Heartbeat::start(&settings.host, &settings.zone, Role::Admin);
     let gossip = Gossip::spawn(peers, own, settings.heartbeat);
     let platform = PlatformClient::open(settings.platform, settings.ip);
     let config = ConfigFollower::spawn(platform.clone());
     let sessions = WatchCache::spawn(platform.clone(), ObjectKind::Session);
     actix_rt::spawn(follow_peers(sessions, gossip.clone(), config.clone()));
+    let quarantine = quarantine::Quarantine::spawn(platform.clone());
     let acceptor = accept::Acceptor::spawn(platform, config, &metrics);
+    let rpc = operator::OperatorRpc::new(acceptor, quarantine, gossip, &metrics);
+    let service = OperatorServer::new(rpc).max_decoding_message_size(MAX_REQUEST_BYTES);
+    let metrics_address = SocketAddr::new(settings.ip, settings.admin_metrics_port);
+    spawn_exposition(metrics_address, metrics.clone())?;
     let address = SocketAddr::new(settings.ip, settings.operator_port);
-    let tls = ServerTlsConfig::new()
-        .identity(Identity::from_pem(&keys.cert_pem, &keys.key_pem))
-        .client_ca_root(Certificate::from_pem(&keys.ca_pem));
+    let connections = listener::bind(address, keys, &metrics).await?;
     log::info!("admin of {} listens on {address}", settings.host);
     Server::builder()
-        .tls_config(tls)?
         .timeout(CALL_TIMEOUT)
-        .add_service(OperatorServer::new(operator::OperatorRpc::new(acceptor, gossip)))
-        .serve_with_shutdown(address, async move { stop.wait().await })
+        .concurrency_limit_per_connection(MAX_CALLS_PER_CONNECTION)
+        .add_service(service)
+        .serve_with_incoming_shutdown(connections, async move { stop.wait().await })
         .await?;
     Ok(())
 }
--- a/crates/tarragon_admin/src/operator.rs
+++ b/crates/tarragon_admin/src/operator.rs
@@ -1,9 +1,13 @@
 //! Serves the operator schema.
 
-use crate::accept::{Acceptor, Error};
+use crate::{
+    accept::{Acceptor, Error},
+    quarantine::{self, Quarantine},
+};
 use rail_api::operator::{self as api, operator_server::Operator};
-use rail_config::{Change, Fleet, Upstream, UpstreamKind, Urgency};
+use rail_config::{Change, Fleet, StoreBudget, Upstream, UpstreamKind, Urgency};
 use rail_peer::Gossip;
+use rail_runtime::{KeyRole, Metrics, metrics::Reasons};
 use tonic::{Request, Response, Status};
 
 /// Metadata key that carries the generation that stands, on a conflict.
@@ -15,13 +19,42 @@
 #[derive(Debug)]
 pub struct OperatorRpc {
     acceptor: Acceptor,
+    quarantine: Quarantine,
     gossip: Gossip,
+    refused: Reasons,
 }
 
 impl OperatorRpc {
     /// Serves changes through the acceptor and status from heartbeats.
-    pub fn new(acceptor: Acceptor, gossip: Gossip) -> Self {
-        Self { acceptor, gossip }
+    pub fn new(
+        acceptor: Acceptor,
+        quarantine: Quarantine,
+        gossip: Gossip,
+        metrics: &Metrics,
+    ) -> Self {
+        let refused = metrics.reasons("admin_calls_not_allowed", "Calls refused by role");
+        Self { acceptor, quarantine, gossip, refused }
+    }
+
+    /// Lets a call through that changes something.
+    fn operator_only<T>(&self, request: Request<T>) -> Result<T, Status> {
+        match role_of(&request) {
+            Some(KeyRole::Operator) => Ok(request.into_inner()),
+            role => Err(self.refuse(role)),
+        }
+    }
+
+    /// Lets a call through that only reads.
+    fn reader_only<T>(&self, request: Request<T>) -> Result<T, Status> {
+        match role_of(&request) {
+            Some(KeyRole::Operator | KeyRole::ReadOnly) => Ok(request.into_inner()),
+            role => Err(self.refuse(role)),
+        }
+    }
+
+    fn refuse(&self, role: Option<KeyRole>) -> Status {
+        self.refused.count(role.map_or("no_role", KeyRole::name));
+        Status::permission_denied("this certificate has no right to the call")
     }
 
     async fn change(
@@ -41,7 +74,7 @@
         &self,
         request: Request<api::RegisterBaseRequest>,
     ) -> Reply<api::ChangeReply> {
-        let request = request.into_inner();
+        let request = self.operator_only(request)?;
         let expected = request.expected;
         self.change(vec![base_change(request)?], expected).await
     }
@@ -50,7 +83,7 @@
         &self,
         request: Request<api::RegisterAdapterRequest>,
     ) -> Reply<api::ChangeReply> {
-        let request = request.into_inner();
+        let request = self.operator_only(request)?;
         let expected = request.expected;
         self.change(vec![adapter_change(request)], expected).await
     }
@@ -59,7 +92,7 @@
         &self,
         request: Request<api::RegisterVersionRequest>,
     ) -> Reply<api::ChangeReply> {
-        let request = request.into_inner();
+        let request = self.operator_only(request)?;
         let expected = request.expected;
         self.change(vec![version_change(request)], expected).await
     }
@@ -68,7 +101,7 @@
         &self,
         request: Request<api::RegisterUpstreamRequest>,
     ) -> Reply<api::ChangeReply> {
-        let request = request.into_inner();
+        let request = self.operator_only(request)?;
         let expected = request.expected;
         self.change(vec![upstream_change(request)?], expected).await
     }
@@ -77,7 +110,7 @@
         &self,
         request: Request<api::SetUrgencyDefaultRequest>,
     ) -> Reply<api::ChangeReply> {
-        let request = request.into_inner();
+        let request = self.operator_only(request)?;
         let expected = request.expected;
         self.change(vec![urgency_change(request)?], expected).await
     }
@@ -86,23 +119,55 @@
         &self,
         request: Request<api::DrainUpstreamRequest>,
     ) -> Reply<api::ChangeReply> {
-        let request = request.into_inner();
+        let request = self.operator_only(request)?;
         let expected = request.expected;
         self.change(vec![drain_change(request)], expected).await
     }
 
+    async fn set_store_budget(
+        &self,
+        request: Request<api::SetStoreBudgetRequest>,
+    ) -> Reply<api::ChangeReply> {
+        let request = self.operator_only(request)?;
+        let expected = request.expected;
+        self.change(vec![budget_change(&request)?], expected).await
+    }
+
+    async fn list_quarantine(
+        &self,
+        request: Request<api::ListQuarantineRequest>,
+    ) -> Reply<api::ListQuarantineReply> {
+        self.reader_only(request)?;
+        let listed = self.quarantine.list().await;
+        let entries = listed.map_err(|error| Status::unavailable(error.to_string()))?;
+        let entries = entries.into_iter().map(entry_message).collect();
+        Ok(Response::new(api::ListQuarantineReply { entries }))
+    }
+
+    async fn release_quarantine(
+        &self,
+        request: Request<api::ReleaseQuarantineRequest>,
+    ) -> Reply<api::ReleaseQuarantineReply> {
+        let request = self.operator_only(request)?;
+        let released = self.quarantine.release(request.fingerprint).await;
+        let released = released.map_err(|error| quarantine_status(&error))?;
+        Ok(Response::new(api::ReleaseQuarantineReply { released }))
+    }
+
     async fn apply(&self, request: Request<api::ApplyRequest>) -> Reply<api::ChangeReply> {
-        let request = request.into_inner();
+        let request = self.operator_only(request)?;
         let changes = request.changes.into_iter().map(any_change).collect::<Result<_, _>>()?;
         self.change(changes, request.expected).await
     }
 
-    async fn list(&self, _request: Request<api::ListRequest>) -> Reply<api::ListReply> {
+    async fn list(&self, request: Request<api::ListRequest>) -> Reply<api::ListReply> {
+        self.reader_only(request)?;
         let fleet = self.acceptor.read().await.map_err(|error| to_status(&error))?;
         Ok(Response::new(list_reply(&fleet)))
     }
 
-    async fn status(&self, _request: Request<api::StatusRequest>) -> Reply<api::StatusReply> {
+    async fn status(&self, request: Request<api::StatusRequest>) -> Reply<api::StatusReply> {
+        self.reader_only(request)?;
         let fleet = self.acceptor.read().await.map_err(|error| to_status(&error))?;
         let members = self.gossip.members().into_iter();
         let processes = members.map(|(heartbeat, age)| api::ProcessStatus {
@@ -121,6 +186,24 @@
     }
 }
 
+fn role_of<T>(request: &Request<T>) -> Option<KeyRole> {
+    let chain = request.peer_certs()?;
+    KeyRole::of_certificate(chain.first()?)
+}
+
+fn entry_message(entry: quarantine::Entry) -> api::QuarantineEntry {
+    api::QuarantineEntry { fingerprint: entry.fingerprint, record_json: entry.record_json }
+}
+
+fn quarantine_status(error: &quarantine::Error) -> Status {
+    let text = error.to_string();
+    match error {
+        quarantine::Error::Fingerprint(_) => Status::invalid_argument(text),
+        quarantine::Error::Platform(cause) if cause.is_effect_unknown() => Status::unknown(text),
+        quarantine::Error::Platform(_) | quarantine::Error::Stopping => Status::unavailable(text),
+    }
+}
+
 fn any_change(change: api::Change) -> Result<Change, Status> {
     match change.change {
         Some(api::change::Change::Base(request)) => base_change(request),
@@ -129,6 +212,7 @@
         Some(api::change::Change::Upstream(request)) => upstream_change(request),
         Some(api::change::Change::UrgencyDefault(request)) => urgency_change(request),
         Some(api::change::Change::Drain(request)) => Ok(drain_change(request)),
+        Some(api::change::Change::StoreBudget(request)) => budget_change(&request),
         None => Err(Status::invalid_argument("change is missing or not known to this server")),
     }
 }
@@ -159,6 +243,13 @@
     Change::DrainUpstream { name: request.name, leaving: request.leaving }
 }
 
+fn budget_change(request: &api::SetStoreBudgetRequest) -> Result<Change, Status> {
+    let budget = request.budget.ok_or_else(|| Status::invalid_argument("budget is missing"))?;
+    let api::StoreBudget { loads_per_s, at_once, in_flight } = budget;
+    let store_budget = StoreBudget { loads_per_s, at_once, in_flight };
+    Ok(Change::SetStoreBudget { store_budget })
+}
+
 fn upstream_change(request: api::RegisterUpstreamRequest) -> Result<Change, Status> {
     let upstream =
         request.upstream.ok_or_else(|| Status::invalid_argument("upstream is missing"))?;
@@ -238,6 +329,11 @@
         bases: bases.collect(),
         adapters: adapters.collect(),
         upstreams: upstreams.collect(),
+        store_budget: Some(api::StoreBudget {
+            loads_per_s: fleet.store_budget.loads_per_s,
+            at_once: fleet.store_budget.at_once,
+            in_flight: fleet.store_budget.in_flight,
+        }),
     }
 }
 
--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -16,7 +16,7 @@
 use rail_member::{Heartbeat, Role};
 use rail_peer::{Gossip, PeerClient};
 use rail_platform::{ConfigFollower, ObjectKind, PlatformClient, WatchCache};
-use rail_runtime::{FleetSettings, Keys, Metrics, StopSignal, start_logging};
+use rail_runtime::{FleetSettings, LiveKeys, Metrics, StopSignal, start_logging};
 use std::{net::SocketAddr, time::Duration};
 
 /// Largest body of a caller's request in bytes.
@@ -115,9 +115,10 @@
     let settings = FleetSettings::open();
     let _logger = start_logging(&settings.log_level, settings.log_format)?;
     let stop = StopSignal::open()?;
-    let keys = Keys::open(&settings.ca, &settings.cert, &settings.key)?;
     let registry = Metrics::default();
-    let peers = PeerClient::open(settings.ip, &keys)?;
+    let keys = LiveKeys::spawn(&settings.ca, &settings.cert, &settings.key, &registry)?;
+    let peers = PeerClient::open(settings.ip, &keys.current())?;
+    peers.follow_keys(&keys);
     let own = Heartbeat::start(&settings.host, &settings.zone, Role::Gateway);
     let gossip = Gossip::spawn(peers.clone(), own, settings.heartbeat);
     let address = SocketAddr::new(settings.ip, settings.caller_port);
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -14,7 +14,7 @@
 use rail_member::{Heartbeat, Role};
 use rail_peer::{Gossip, PeerClient, PeerServer};
 use rail_platform::{ConfigFollower, PlatformClient};
-use rail_runtime::{FleetSettings, Keys, Metrics, MonotonicClock, StopSignal, start_logging};
+use rail_runtime::{FleetSettings, LiveKeys, Metrics, MonotonicClock, StopSignal, start_logging};
 use std::net::SocketAddr;
 
 #[derive(Debug, thiserror::Error)]
@@ -34,12 +34,14 @@
     let settings = FleetSettings::open();
     let _logger = start_logging(&settings.log_level, settings.log_format)?;
     let stop = StopSignal::open()?;
-    let keys = Keys::open(&settings.ca, &settings.cert, &settings.key)?;
     let registry = Metrics::default();
+    let keys = LiveKeys::spawn(&settings.ca, &settings.cert, &settings.key, &registry)?;
     let counters = metrics::SchedulerMetrics::register(&registry);
     let address = SocketAddr::new(settings.ip, settings.peer_port);
-    let (server, incoming) = PeerServer::bind(address, &keys)?;
-    let client = PeerClient::open(settings.ip, &keys)?;
+    let (server, incoming) = PeerServer::bind(address, &keys.current())?;
+    server.follow_keys(&keys);
+    let client = PeerClient::open(settings.ip, &keys.current())?;
+    client.follow_keys(&keys);
     let platform = PlatformClient::open(settings.platform, settings.ip);
     let config = ConfigFollower::spawn(platform.clone());
     let own = Heartbeat::start(&settings.host, &settings.zone, Role::Scheduler);
--- /dev/null
+++ b/crates/tarragonctl/src/completion.rs
@@ -0,0 +1,15 @@
+//! Shell completion scripts.
+
+use crate::error::{Error, Result};
+
+/// Prints the script of a shell.
+pub fn print(shell: &str) -> Result<()> {
+    let script = match shell {
+        "bash" => include_str!("../completions/tarragonctl.bash"),
+        "zsh" => include_str!("../completions/tarragonctl.zsh"),
+        "fish" => include_str!("../completions/tarragonctl.fish"),
+        _ => return Err(Error::Invalid { flag: "shell", value: shell.to_owned() }),
+    };
+    print!("{script}");
+    Ok(())
+}
--- a/crates/tarragonctl/src/flags.rs
+++ b/crates/tarragonctl/src/flags.rs
@@ -39,12 +39,20 @@
     Urgency(UrgencyCommand),
     /// mark an upstream as leaving, or live again
     Drain(DrainCommand),
+    /// set what the weight store allows to all engines together
+    StoreBudget(StoreBudgetCommand),
+    /// show how a fleet file differs from what is configured, and apply it
+    Apply(ApplyCommand),
+    /// list or release requests that crash their upstreams
+    Quarantine(QuarantineCommand),
     /// list what is configured
     List(ListCommand),
     /// show each process with its generation
     Status(StatusCommand),
     /// make the keys of a fleet
     Keys(KeysCommand),
+    /// print a completion script
+    Completion(CompletionCommand),
 }
 
 /// Registers a base model.
@@ -139,6 +147,74 @@
     pub expect: Option<u64>,
 }
 
+/// Sets the store budget.
+#[derive(Debug, Options)]
+pub struct StoreBudgetCommand {
+    /// print this help
+    pub help: bool,
+    /// loads a second
+    #[options(required, no_short)]
+    pub loads_per_s: u32,
+    /// loads at once at full speed
+    #[options(required, no_short)]
+    pub at_once: u32,
+    /// loads in flight over all engines up to which each runs at full speed
+    #[options(required, no_short)]
+    pub in_flight: u32,
+    /// generation that must stand
+    pub expect: Option<u64>,
+}
+
+/// Applies a fleet file.
+#[derive(Debug, Options)]
+pub struct ApplyCommand {
+    /// print this help
+    pub help: bool,
+    /// fleet file in TOML
+    #[options(free, required)]
+    pub file: String,
+    /// apply the differences that are shown
+    pub yes: bool,
+}
+
+/// Handles quarantined requests.
+#[derive(Debug, Options)]
+pub struct QuarantineCommand {
+    /// print this help
+    pub help: bool,
+    #[options(command)]
+    pub action: Option<QuarantineAction>,
+}
+
+/// What to do with quarantined requests.
+#[derive(Debug, Options)]
+pub enum QuarantineAction {
+    /// list them
+    List(ListCommand),
+    /// let one run again
+    Release(ReleaseCommand),
+}
+
+/// Releases a request.
+#[derive(Debug, Options)]
+pub struct ReleaseCommand {
+    /// print this help
+    pub help: bool,
+    /// fingerprint in hexadecimal
+    #[options(free, required)]
+    pub fingerprint: String,
+}
+
+/// Prints a completion script.
+#[derive(Debug, Options)]
+pub struct CompletionCommand {
+    /// print this help
+    pub help: bool,
+    /// bash, zsh or fish
+    #[options(free, required)]
+    pub shell: String,
+}
+
 /// Lists the configuration.
 #[derive(Debug, Options)]
 pub struct ListCommand {
@@ -155,6 +231,9 @@
     pub json: bool,
     /// wait until this generation is in force on each process
     pub wait: Option<u64>,
+    /// seconds to wait
+    #[options(no_short, default = "30")]
+    pub timeout_s: u64,
 }
 
 /// Makes keys.
@@ -165,7 +244,16 @@
     /// folder to write to
     #[options(required)]
     pub out: String,
-    /// names of hosts and operators
+    /// host, operator or read-only
+    #[options(default = "host")]
+    pub role: String,
+    /// days for which the certificates are valid
+    #[options(no_short, default = "365")]
+    pub days: u32,
+    /// make a new authority and keep trusting the old one beside it
+    #[options(no_short)]
+    pub new_authority: bool,
+    /// names of hosts or operators
     #[options(free)]
     pub names: Vec<String>,
 }
--- a/crates/tarragonctl/src/main.rs
+++ b/crates/tarragonctl/src/main.rs
@@ -3,10 +3,15 @@
 //! Calls the operator RPC of any entry host over mutual TLS; `keys` makes the
 //! keys of a fleet without a server.
 
+mod completion;
+mod convert;
 mod error;
 mod flags;
+mod fleet_file;
 mod keys;
+mod quarantine;
 mod rpc;
+mod status;
 
 use error::Error;
 use flags::Flags;
@@ -17,7 +22,7 @@
     let flags = Flags::parse_args_default_or_exit();
     if let Err(error) = run(flags).await {
         eprintln!("tarragonctl: {error}");
-        std::process::exit(error.exit_code());
+        std::process::exit(error.exit_code() as i32);
     }
 }
 
@@ -30,6 +35,7 @@
     let connection = flags::Connection { admin, ca, cert, key };
     match command {
         Some(flags::Command::Keys(command)) => keys::make_keys(&command),
+        Some(flags::Command::Completion(command)) => completion::print(&command.shell),
         Some(command) => rpc::call(connection, command).await,
         None => Err(Error::Usage),
     }
--- a/crates/tarragonctl/src/rpc.rs
+++ b/crates/tarragonctl/src/rpc.rs
@@ -1,8 +1,13 @@
 //! Calls the operator RPC.
 
 use crate::{
+    convert,
     error::{Error, Result},
-    flags::{AdapterCommand, Command, Connection, StatusCommand, UpstreamCommand},
+    flags::{
+        AdapterCommand, ApplyCommand, Command, Connection, StoreBudgetCommand, UpstreamCommand,
+    },
+    fleet_file::{self, FleetFile},
+    quarantine, status,
 };
 use rail_api::operator::{self as api, operator_client::OperatorClient};
 use rail_runtime::{Keys, keys::FLEET_SERVER_NAME};
@@ -11,44 +16,61 @@
 
 /// Time in which a call must be answered.
 const CALL_TIMEOUT: Duration = Duration::from_secs(20);
-/// Interval between looks at the generation of each process.
-const WAIT_INTERVAL: Duration = Duration::from_millis(200);
-/// Looks before waiting is given up.
-const WAIT_ATTEMPTS: u32 = 150;
-/// Age above which a process counts as gone.
-const GONE_AGE_MS: u64 = 3000;
+/// Time in which a connection must be open.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Largest reply in bytes: a list of every adapter of a large fleet.
+const MAX_REPLY_BYTES: usize = 64 << 20;
 
-type Client = OperatorClient<Channel>;
+/// Connected client.
+pub type Client = OperatorClient<Channel>;
 
 /// Connects and carries out a command.
 pub async fn call(connection: Connection, command: Command) -> Result<()> {
     let mut client = connect(connection).await?;
-    let reply = match command {
+    match command {
+        Command::Apply(c) => apply(&mut client, &c).await,
+        Command::List(_) => list(&mut client).await,
+        Command::Status(c) => status::show(&mut client, &c).await,
+        Command::Quarantine(c) => quarantine::call(&mut client, c).await,
+        other => {
+            let reply = change(&mut client, other).await?.map_err(Error::changing)?;
+            println!("generation {}", reply.into_inner().generation);
+            Ok(())
+        }
+    }
+}
+
+type ChangeResult = std::result::Result<tonic::Response<api::ChangeReply>, tonic::Status>;
+
+async fn change(client: &mut Client, command: Command) -> Result<ChangeResult> {
+    Ok(match command {
         Command::Base(c) => {
             let urgency_default = parse_urgency(&c.urgency)?.into();
             let expected = expected(c.expect);
             let request = api::RegisterBaseRequest { base: c.base, urgency_default, expected };
-            client.register_base(request).await?
+            client.register_base(request).await
         }
-        Command::Adapter(c) => client.apply(adapter_request(c)?).await?,
-        Command::Upstream(c) => client.register_upstream(upstream_request(c)?).await?,
+        Command::Adapter(c) => client.apply(adapter_request(c)?).await,
+        Command::Upstream(c) => client.register_upstream(upstream_request(c)?).await,
         Command::Urgency(c) => {
             let urgency = parse_urgency(&c.urgency)?.into();
             let expected = expected(c.expect);
             let request = api::SetUrgencyDefaultRequest { base: c.base, urgency, expected };
-            client.set_urgency_default(request).await?
+            client.set_urgency_default(request).await
         }
         Command::Drain(c) => {
             let expected = expected(c.expect);
             let request = api::DrainUpstreamRequest { name: c.name, leaving: !c.undo, expected };
-            client.drain_upstream(request).await?
+            client.drain_upstream(request).await
         }
-        Command::List(_) => return list(&mut client).await,
-        Command::Status(c) => return status(&mut client, &c).await,
-        Command::Keys(_) => return Err(Error::Usage),
-    };
-    println!("generation {}", reply.into_inner().generation);
-    Ok(())
+        Command::StoreBudget(c) => {
+            let StoreBudgetCommand { loads_per_s, at_once, in_flight, .. } = c;
+            let budget = Some(api::StoreBudget { loads_per_s, at_once, in_flight });
+            let expected = expected(c.expect);
+            client.set_store_budget(api::SetStoreBudgetRequest { budget, expected }).await
+        }
+        _ => return Err(Error::Usage),
+    })
 }
 
 async fn connect(connection: Connection) -> Result<Client> {
@@ -67,8 +89,9 @@
         .domain_name(FLEET_SERVER_NAME);
     let invalid = |_error| Error::Invalid { flag: "admin", value: admin.clone() };
     let endpoint = Endpoint::from_shared(format!("https://{admin}")).map_err(invalid)?;
-    let channel = endpoint.tls_config(tls)?.timeout(CALL_TIMEOUT).connect().await?;
-    Ok(OperatorClient::new(channel))
+    let channel = endpoint.tls_config(tls)?.connect_timeout(CONNECT_TIMEOUT).timeout(CALL_TIMEOUT);
+    let channel = channel.connect().await?;
+    Ok(OperatorClient::new(channel).max_decoding_message_size(MAX_REPLY_BYTES))
 }
 
 fn expected(generation: Option<u64>) -> Option<api::Expected> {
@@ -129,8 +152,14 @@
 }
 
 async fn list(client: &mut Client) -> Result<()> {
-    let reply = client.list(api::ListRequest {}).await?.into_inner();
+    let reply = read_list(client).await?;
     println!("generation {}", reply.generation);
+    if let Some(budget) = &reply.store_budget {
+        println!(
+            "store_budget loads_per_s={} at_once={} in_flight={}",
+            budget.loads_per_s, budget.at_once, budget.in_flight
+        );
+    }
     for base in &reply.bases {
         println!("base {} {}", base.base, base.urgency_default().as_str_name());
     }
@@ -145,42 +174,31 @@
     Ok(())
 }
 
-async fn status(client: &mut Client, command: &StatusCommand) -> Result<()> {
-    for _attempt in 0..WAIT_ATTEMPTS {
-        let reply = client.status(api::StatusRequest {}).await?.into_inner();
-        let live = reply.processes.iter().filter(|p| p.age_ms < GONE_AGE_MS);
-        let reached = |generation| live.clone().all(|p| p.generation >= generation);
-        if command.wait.is_none_or(reached) {
-            print_status(&reply, command.json);
-            return Ok(());
-        }
-        tokio::time::sleep(WAIT_INTERVAL).await;
-    }
-    Err(tonic::Status::deadline_exceeded("generation is not in force everywhere").into())
+async fn read_list(client: &mut Client) -> Result<api::ListReply> {
+    let reply = client.list(api::ListRequest {}).await.map_err(Error::reading)?;
+    Ok(reply.into_inner())
 }
 
-fn print_status(reply: &api::StatusReply, as_json: bool) {
-    if as_json {
-        let processes: Vec<_> = reply
-            .processes
-            .iter()
-            .map(|p| {
-                serde_json::json!({
-                    "host": p.host, "role": p.role, "generation": p.generation,
-                    "leaving": p.leaving, "age_ms": p.age_ms, "owned_engines": p.owned_engines,
-                })
-            })
-            .collect();
-        println!(
-            "{}",
-            serde_json::json!({"generation": reply.accepted_generation, "processes": processes})
-        );
-        return;
+/// Shows the difference to a fleet file; applies it only against the generation that was shown.
+async fn apply(client: &mut Client, command: &ApplyCommand) -> Result<()> {
+    let file = FleetFile::open(&command.file)?;
+    let current = convert::fleet_from(read_list(client).await?)?;
+    let changes = file.changes_from(&current)?;
+    for change in &changes {
+        println!("{}", fleet_file::describe(change, &current));
+    }
+    if changes.is_empty() {
+        println!("no difference; generation {}", current.generation);
+        return Ok(());
     }
-    println!("generation {}", reply.accepted_generation);
-    println!("{:<12} {:<10} {:>10} {:>8} engines", "host", "role", "generation", "age_ms");
-    for p in &reply.processes {
-        let engines = p.owned_engines.join(" ");
-        println!("{:<12} {:<10} {:>10} {:>8} {engines}", p.host, p.role, p.generation, p.age_ms);
+    if !command.yes {
+        return Err(Error::Differences);
     }
+    let request = api::ApplyRequest {
+        changes: changes.into_iter().map(convert::change_message).collect(),
+        expected: expected(Some(current.generation)),
+    };
+    let reply = client.apply(request).await.map_err(Error::changing)?;
+    println!("generation {}", reply.into_inner().generation);
+    Ok(())
 }
