--- a/crates/rail_runtime/src/verifier.rs
+++ b/crates/rail_runtime/src/verifier.rs
@@ -36,8 +36,8 @@
             CertificateError::NotValidYet | CertificateError::NotValidYetContext { .. } => {
                 "not_valid_yet"
             }
-            CertificateError::UnknownIssuer => "unknown_issuer",
-            CertificateError::BadSignature => "bad_signature",
+            // An authority of the same name with another key fails by its signature.
+            CertificateError::UnknownIssuer | CertificateError::BadSignature => "foreign_authority",
             CertificateError::InvalidPurpose | CertificateError::InvalidPurposeContext { .. } => {
                 "invalid_purpose"
             }
