--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -20,7 +20,7 @@
 use rail_member::{Heartbeat, Role};
 use rail_peer::{Gossip, PeerClient, follow_configuration, follow_sessions};
 use rail_platform::{ConfigFollower, HostList, ObjectKind, PlatformClient, WatchCache};
-use rail_runtime::{FleetSettings, Keys, Metrics, StopSignal, start_logging};
+use rail_runtime::{FleetSettings, LiveKeys, Metrics, StopSignal, start_logging};
 use std::{
     net::SocketAddr,
     time::{Duration, Instant},
@@ -132,9 +132,10 @@
     let settings = FleetSettings::open();
     let _logger = start_logging(&settings.log_level, settings.log_format)?;
     let stop = StopSignal::open()?;
-    let keys = Keys::open(&settings.ca, &settings.cert, &settings.key)?;
     let registry = Metrics::default();
-    let peers = PeerClient::open(settings.ip, &keys)?.with_metrics(&registry);
+    let keys = LiveKeys::spawn(&settings.ca, &settings.cert, &settings.key, &registry)?;
+    let peers = PeerClient::open(settings.ip, &keys.current())?.with_metrics(&registry);
+    peers.follow_keys(&keys);
     let address = SocketAddr::new(settings.ip, settings.caller_port);
     let mut own = Heartbeat::start(&settings.host, &settings.zone, Role::Gateway);
     own.address = Some(address);
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -16,7 +16,7 @@
 use rail_member::{Heartbeat, Role};
 use rail_peer::{Gossip, PeerClient, PeerServer, follow_configuration};
 use rail_platform::{ConfigFollower, HostList, PlatformClient};
-use rail_runtime::{FleetSettings, Keys, Metrics, MonotonicClock, StopSignal, start_logging};
+use rail_runtime::{FleetSettings, LiveKeys, Metrics, MonotonicClock, StopSignal, start_logging};
 use std::net::SocketAddr;
 
 #[derive(Debug, thiserror::Error)]
@@ -40,12 +40,14 @@
     let settings = FleetSettings::open();
     let _logger = start_logging(&settings.log_level, settings.log_format)?;
     let stop = StopSignal::open()?;
-    let keys = Keys::open(&settings.ca, &settings.cert, &settings.key)?;
     let registry = Metrics::default();
+    let keys = LiveKeys::spawn(&settings.ca, &settings.cert, &settings.key, &registry)?;
     let counters = metrics::SchedulerMetrics::register(&registry);
     let address = SocketAddr::new(settings.ip, settings.peer_port);
-    let (server, incoming) = PeerServer::bind(address, &keys)?;
-    let client = PeerClient::open(settings.ip, &keys)?.with_metrics(&registry);
+    let (server, incoming) = PeerServer::bind(address, &keys.current())?;
+    server.follow_keys(&keys);
+    let client = PeerClient::open(settings.ip, &keys.current())?.with_metrics(&registry);
+    client.follow_keys(&keys);
     PlacementSettings { policy: settings.policy.parse()?, objective: settings.weights.parse()? }
         .install();
     let platform = PlatformClient::open(settings.platform, settings.ip).with_metrics(&registry);
