--- a/crates/rail_admit/src/lib.rs
+++ b/crates/rail_admit/src/lib.rs
@@ -30,7 +30,7 @@
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
-        queue::{AdmissionQueue, EntryId, Limits, QueuePolicy},
+        queue::{AdmissionQueue, EntryId, Limits, QueuePolicy, UnknownQueuePolicy},
         rate::ServiceRate,
         refusal::{Refusal, RefusalReason, Refused},
         ticket::{Ticket, Urgency},
--- a/crates/rail_admit/src/queue.rs
+++ b/crates/rail_admit/src/queue.rs
@@ -5,20 +5,38 @@
     refusal::{Refusal, RefusalReason, Refused},
     ticket::{CallerId, Ticket, Urgency},
 };
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, str::FromStr, time::Duration};
 
 /// Identity of a waiting request within its queue; grows with arrival.
 pub type EntryId = u64;
 
 /// Which rules a queue follows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum QueuePolicy {
     /// Urgency, deadlines, shares and shedding.
+    #[default]
     Deadline,
     /// Arrival order, refusing only when full: the baseline of measurements.
     FirstCome,
 }
 
+/// A policy name that is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("expected deadline or first-come")]
+pub struct UnknownQueuePolicy;
+
+impl FromStr for QueuePolicy {
+    type Err = UnknownQueuePolicy;
+
+    fn from_str(s: &str) -> Result<Self, UnknownQueuePolicy> {
+        match s {
+            "deadline" => Ok(Self::Deadline),
+            "first-come" => Ok(Self::FirstCome),
+            _ => Err(UnknownQueuePolicy),
+        }
+    }
+}
+
 /// Bounds of a queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -120,6 +138,11 @@
         ids
     }
 
+    /// Iterates over waiting requests in order of arrival.
+    pub fn iter(&self) -> impl Iterator<Item = (EntryId, &T)> {
+        self.entries.iter().map(|(id, entry)| (*id, &entry.item))
+    }
+
     /// Looks at a waiting request.
     pub fn find(&self, id: EntryId) -> Option<(&Ticket, &T)> {
         self.entries.get(&id).map(|entry| (&entry.ticket, &entry.item))
@@ -150,9 +173,9 @@
         std::mem::take(&mut self.entries).into_values().map(|entry| entry.item).collect()
     }
 
-    /// Counts a request that the engine finished.
-    pub fn finish_one(&mut self, now: Duration) {
-        self.rate.finish_one(now, !self.entries.is_empty());
+    /// Counts a request that the engine finished; `saturated` tells whether its batch was full.
+    pub fn finish_one(&mut self, now: Duration, saturated: bool) {
+        self.rate.finish_one(now, saturated && !self.entries.is_empty());
     }
 
     /// Counts waiting requests.
--- a/crates/rail_admit/tests/queue.rs
+++ b/crates/rail_admit/tests/queue.rs
@@ -72,7 +72,7 @@
                     return false;
                 }
             }
-            Step::Finish => queue.finish_one(now),
+            Step::Finish => queue.finish_one(now, true),
             Step::Wait { ms } => {
                 now += Duration::from_millis(ms);
                 if !queue.expire(now).into_iter().all(|r| ended.insert(r.item)) {
@@ -160,7 +160,7 @@
     }
     // Ten requests a second, learnt over two seconds.
     for tenth in 0..20 {
-        queue.finish_one(Duration::from_millis(100 * tenth));
+        queue.finish_one(Duration::from_millis(100 * tenth), true);
     }
     let now = Duration::from_secs(2);
     let refused = queue.push(ticket("c", Urgency::Urgent, 61_000), 99, now);
--- a/crates/rail_runtime/src/settings.rs
+++ b/crates/rail_runtime/src/settings.rs
@@ -182,6 +182,9 @@
     /// placement policy: rendezvous, hash-lru, hash-lfu, least-loaded or no-permits
     #[options(no_short)]
     pub policy: Option<String>,
+    /// admission policy: deadline or first-come (deadline)
+    #[options(no_short)]
+    pub admission: Option<String>,
     /// weights of load stalls and full batches in placement (1,1)
     #[options(no_short)]
     pub weights: Option<String>,
@@ -232,6 +235,8 @@
     pub claim_retention: Duration,
     /// Name of the placement policy.
     pub policy: String,
+    /// Name of the admission policy.
+    pub admission: String,
     /// Weights of load stalls and full batches in placement.
     pub weights: String,
     /// Log level specification.
@@ -304,6 +309,7 @@
             entry_lifetime: Duration::from_millis(lifetime_ms),
             claim_retention: Duration::from_millis(retention_ms),
             policy: reader.or("policy", flags.policy, "rendezvous".to_owned()),
+            admission: reader.or("admission", flags.admission, "deadline".to_owned()),
             weights: reader.or("weights", flags.weights, "1,1".to_owned()),
             log_level: reader.or("log-level", flags.log_level, "info".to_owned()),
             log_format: if format == "text" { LogFormat::Text } else { LogFormat::Json },
--- a/crates/tarragon_scheduler/src/engine/mod.rs
+++ b/crates/tarragon_scheduler/src/engine/mod.rs
@@ -17,6 +17,7 @@
 };
 use orders::PermitTask;
 use queue::{Queue, Waiting};
+use rail_admit::{RefusalReason, Refused};
 use rail_config::Upstream;
 use rail_place::{AdapterKey, EnginePlanner, EngineShape, SlotTicket};
 use rail_platform::ConfigFollower;
@@ -99,6 +100,7 @@
     metrics: SchedulerMetrics,
     planner: EnginePlanner,
     queue: Queue,
+    batch: usize,
     asks: BTreeMap<AdapterKey, PermitTask>,
     preparing: BTreeSet<AdapterKey>,
     in_flight: usize,
@@ -118,7 +120,7 @@
         clock: MonotonicClock,
         metrics: SchedulerMetrics,
     ) -> Self {
-        let PlacementSettings { policy, objective } = PlacementSettings::current();
+        let PlacementSettings { policy, objective, admission } = PlacementSettings::current();
         let (slots, batch) = (upstream.slots as usize, upstream.batch as usize);
         Self {
             client: EngineClient::open(upstream.address),
@@ -127,7 +129,8 @@
             clock,
             metrics,
             planner: EnginePlanner::new(EngineShape { slots, batch, policy, objective }),
-            queue: Queue::default(),
+            queue: Queue::new(admission),
+            batch,
             asks: BTreeMap::new(),
             preparing: BTreeSet::new(),
             in_flight: 0,
@@ -144,17 +147,36 @@
         let _gone = waiting.events.try_send(WorkEvent::NotRun(NotRun { reason, retry_after }));
     }
 
+    /// Takes a request into the queue, refusing at once what has no place there.
+    fn admit(&mut self, waiting: Waiting, now: Duration) {
+        let refused = self.queue.push(waiting, now);
+        self.refuse_all(refused);
+    }
+
+    fn refuse_all(&self, refused: Vec<Refused<Waiting>>) {
+        for Refused { item, refusal } in refused {
+            self.metrics.sheds.count(&refusal.reason.to_string());
+            let reason = match refusal.reason {
+                RefusalReason::Deadline => NotRunReason::Deadline,
+                RefusalReason::QueueFull | RefusalReason::QueueBytes | RefusalReason::OverShare => {
+                    NotRunReason::Overloaded
+                }
+            };
+            self.refuse(&item, reason, refusal.retry_after);
+        }
+    }
+
     /// Refuses what has expired and starts what can run.
     fn pump(&mut self, ctx: &mut Context<Self>) {
         let now = self.clock.now();
-        for waiting in self.queue.remove_expired(now) {
-            self.refuse(&waiting, NotRunReason::Deadline, LOAD_RETRY);
-        }
+        let expired = self.queue.remove_expired(now);
+        self.refuse_all(expired);
         if self.boot_id.is_none() || !self.session.is_in_force() {
             return;
         }
-        let plan = self.planner.plan(&self.queue.items(), self.in_flight, now);
-        for waiting in self.queue.remove_positions(&plan.dispatch) {
+        let order = self.queue.order(now);
+        let plan = self.planner.plan(&self.queue.items(&order), self.in_flight, now);
+        for waiting in self.queue.remove_positions(&order, &plan.dispatch) {
             self.dispatch(waiting, now, ctx);
         }
         self.follow_wishes(&plan.loads, ctx);
@@ -164,7 +186,7 @@
     fn dispatch(&mut self, waiting: Waiting, now: Duration, ctx: &mut Context<Self>) {
         let residency = self.planner.residency_mut();
         let Some(ticket) = residency.acquire(&waiting.order.model, now) else {
-            self.queue.push(waiting);
+            self.admit(waiting, now);
             return;
         };
         let since = residency.resident_since(&waiting.order.model).unwrap_or(now);
@@ -212,7 +234,7 @@
         let arrived_at = self.clock.now();
         let expires_at = arrived_at + order.deadline;
         self.planner.residency_mut().record_demand(&order.model, arrived_at);
-        self.queue.push(Waiting { order, events, arrived_at, expires_at });
+        self.admit(Waiting { order, events, arrived_at, expires_at }, arrived_at);
         self.pump(ctx);
     }
 }
@@ -221,6 +243,8 @@
     type Result = ();
 
     fn handle(&mut self, message: Finished, ctx: &mut Self::Context) {
+        let saturated = self.in_flight >= self.batch;
+        self.queue.finish_one(self.clock.now(), saturated);
         self.in_flight -= 1;
         let released = self.planner.residency_mut().release(message.ticket);
         self.count_undone(released);
--- a/crates/tarragon_scheduler/src/engine/queue.rs
+++ b/crates/tarragon_scheduler/src/engine/queue.rs
@@ -1,10 +1,14 @@
-//! Requests that wait for their engine, and their order.
+//! Requests that wait for their engine, under the rules of `rail_admit`.
 
 use super::Events;
+use rail_admit::{AdmissionQueue, EntryId, Limits, QueuePolicy, Refused, Ticket, Urgency};
 use rail_place::{AdapterKey, WorkItem};
 use rail_request::WorkOrder;
 use std::{collections::BTreeMap, time::Duration};
 
+/// Memory of a waiting request beside its prompt, in bytes.
+const ENTRY_BYTES: usize = 512;
+
 /// A request that waits.
 #[derive(Debug)]
 pub(super) struct Waiting {
@@ -14,24 +18,34 @@
     pub(super) expires_at: Duration,
 }
 
-/// Waiting requests: urgent before deferrable, earliest deadline first within each.
-#[derive(Debug, Default)]
+/// Waiting requests of one engine.
+#[derive(Debug)]
 pub(super) struct Queue {
-    waiting: Vec<Waiting>,
+    waiting: AdmissionQueue<Waiting>,
 }
 
 impl Queue {
-    /// Adds a request in its place.
-    pub(super) fn push(&mut self, waiting: Waiting) {
-        let place = |w: &Waiting| (!w.order.urgent, w.expires_at, w.arrived_at);
-        let index = self.waiting.partition_point(|w| place(w) <= place(&waiting));
-        self.waiting.insert(index, waiting);
+    /// Starts an empty queue.
+    pub(super) fn new(policy: QueuePolicy) -> Self {
+        Self { waiting: AdmissionQueue::new(Limits { policy, ..Limits::default() }) }
+    }
+
+    /// Adds a request; returns what is refused for it, or the request itself.
+    pub(super) fn push(&mut self, waiting: Waiting, now: Duration) -> Vec<Refused<Waiting>> {
+        let urgent = waiting.order.urgent;
+        let ticket = Ticket {
+            caller: waiting.order.caller.clone(),
+            urgency: if urgent { Urgency::Urgent } else { Urgency::Deferrable },
+            size_bytes: waiting.order.prompt.len() + ENTRY_BYTES,
+            deadline_at: waiting.expires_at,
+        };
+        self.waiting.push(ticket, waiting, now).unwrap_or_else(|refused| vec![refused])
     }
 
     /// Removes what has expired; forgets what nobody waits for.
-    pub(super) fn remove_expired(&mut self, now: Duration) -> Vec<Waiting> {
-        self.waiting.retain(|w| !w.events.is_closed());
-        self.remove_if(|w| w.expires_at <= now)
+    pub(super) fn remove_expired(&mut self, now: Duration) -> Vec<Refused<Waiting>> {
+        self.remove_if(|w| w.events.is_closed());
+        self.waiting.expire(now)
     }
 
     /// Removes all requests for one adapter.
@@ -39,45 +53,55 @@
         self.remove_if(|w| w.order.model == adapter)
     }
 
-    /// Removes all requests, in order.
+    /// Removes all requests.
     pub(super) fn take_all(&mut self) -> Vec<Waiting> {
-        std::mem::take(&mut self.waiting)
+        self.waiting.drain()
     }
 
-    /// Lists the requests in order, as the planner takes them.
-    pub(super) fn items(&self) -> Vec<WorkItem<'_>> {
-        let item = |w| {
-            let Waiting { order, arrived_at, expires_at, .. }: &Waiting = w;
-            WorkItem {
-                adapter: &order.model,
-                urgent: order.urgent,
-                arrived_at: *arrived_at,
-                expires_at: *expires_at,
-            }
-        };
-        self.waiting.iter().map(item).collect()
+    /// Lists the requests in the order in which they should start.
+    pub(super) fn order(&self, now: Duration) -> Vec<EntryId> {
+        self.waiting.order(now)
+    }
+
+    /// Describes these requests as the planner takes them.
+    pub(super) fn items(&self, order: &[EntryId]) -> Vec<WorkItem<'_>> {
+        let found = order.iter().filter_map(|id| self.waiting.find(*id));
+        let items = found.map(|(_, waiting)| WorkItem {
+            adapter: &waiting.order.model,
+            urgent: waiting.order.urgent,
+            arrived_at: waiting.arrived_at,
+            expires_at: waiting.expires_at,
+        });
+        items.collect()
     }
 
-    /// Removes the requests at these ascending positions.
-    pub(super) fn remove_positions(&mut self, positions: &[usize]) -> Vec<Waiting> {
-        let mut removed: Vec<Waiting> =
-            positions.iter().rev().map(|position| self.waiting.remove(*position)).collect();
-        removed.reverse();
-        removed
+    /// Removes the requests at these positions of an order.
+    pub(super) fn remove_positions(
+        &mut self,
+        order: &[EntryId],
+        positions: &[usize],
+    ) -> Vec<Waiting> {
+        let ids = positions.iter().filter_map(|position| order.get(*position));
+        ids.filter_map(|id| self.waiting.take(*id)).collect()
     }
 
     /// Counts the requests that wait for each adapter.
     pub(super) fn count_by_adapter(&self) -> BTreeMap<AdapterKey, u32> {
         let mut counts = BTreeMap::new();
-        for waiting in &self.waiting {
+        for (_, waiting) in self.waiting.iter() {
             *counts.entry(waiting.order.model.clone()).or_default() += 1;
         }
         counts
     }
 
+    /// Counts a request that the engine finished.
+    pub(super) fn finish_one(&mut self, now: Duration, saturated: bool) {
+        self.waiting.finish_one(now, saturated);
+    }
+
     fn remove_if(&mut self, is_removed: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
-        let (removed, kept) = self.take_all().into_iter().partition(is_removed);
-        self.waiting = kept;
-        removed
+        let removed = self.waiting.iter().filter(|(_, w)| is_removed(w)).map(|(id, _)| id);
+        let removed: Vec<EntryId> = removed.collect();
+        removed.into_iter().filter_map(|id| self.waiting.take(id)).collect()
     }
 }
--- a/crates/tarragon_scheduler/src/engine/settings.rs
+++ b/crates/tarragon_scheduler/src/engine/settings.rs
@@ -1,5 +1,6 @@
 //! Placement settings of this process.
 
+use rail_admit::QueuePolicy;
 use rail_place::{Objective, Policy};
 use std::sync::OnceLock;
 
@@ -12,6 +13,8 @@
     pub policy: Policy,
     /// Weights of the deployment.
     pub objective: Objective,
+    /// Rules of the queues.
+    pub admission: QueuePolicy,
 }
 
 impl PlacementSettings {
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -31,6 +31,8 @@
     Peer(#[from] rail_peer::Error),
     #[error("--policy: {0}")]
     Policy(#[from] rail_place::UnknownPolicy),
+    #[error("--admission: {0}")]
+    Admission(#[from] rail_admit::UnknownQueuePolicy),
     #[error("--weights: {0}")]
     Weights(#[from] rail_place::InvalidWeights),
 }
@@ -48,8 +50,12 @@
     server.follow_keys(&keys);
     let client = PeerClient::open(settings.ip, &keys.current())?.with_metrics(&registry);
     client.follow_keys(&keys);
-    PlacementSettings { policy: settings.policy.parse()?, objective: settings.weights.parse()? }
-        .install();
+    PlacementSettings {
+        policy: settings.policy.parse()?,
+        objective: settings.weights.parse()?,
+        admission: settings.admission.parse()?,
+    }
+    .install();
     let platform = PlatformClient::open(settings.platform, settings.ip).with_metrics(&registry);
     let config = ConfigFollower::spawn(platform.clone());
     let mut own = Heartbeat::start(&settings.host, &settings.zone, Role::Scheduler);
--- a/crates/tarragon_scheduler/src/metrics.rs
+++ b/crates/tarragon_scheduler/src/metrics.rs
@@ -9,6 +9,8 @@
 pub struct SchedulerMetrics {
     /// Requests refused as not run, by reason.
     pub refusals: Reasons,
+    /// Requests that admission refused, by reason.
+    pub sheds: Reasons,
     /// Requests that ended with a whole answer.
     pub answers: Counter,
     /// Requests that ended without a whole answer after dispatch, by reason.
@@ -36,6 +38,7 @@
     pub fn register(metrics: &Metrics) -> Self {
         Self {
             refusals: metrics.reasons("scheduler_refusals", "Requests refused as not run"),
+            sheds: metrics.reasons("scheduler_sheds", "Requests that admission refused"),
             answers: metrics.counter("scheduler_answers", "Requests answered in whole"),
             failures: metrics.reasons("scheduler_failures", "Requests that failed after dispatch"),
             loads: metrics.reasons("scheduler_loads", "Adapter loads by result"),
