--- a/crates/rail_testfleet/src/fleet.rs
+++ b/crates/rail_testfleet/src/fleet.rs
@@ -221,7 +221,7 @@
         let endpoints = hosts.iter().map(|(ip, leaving)| {
             json!({"addresses": [ip], "conditions": {"ready": !leaving, "terminating": leaving}})
         });
-        let body = Value::from_iter(endpoints);
+        let body = endpoints.collect::<Value>();
         let url = format!("{}/_hosts", self.standin_url("platform"));
         let reply = awc::Client::default().post(url).send_json(&body).await;
         assert!(reply.expect("stand-in answers").status().is_success(), "hosts are accepted");
--- a/crates/rail_testfleet/tests/configuration.rs
+++ b/crates/rail_testfleet/tests/configuration.rs
@@ -69,7 +69,7 @@
     let mut seen = change(&fleet, 1, "before");
     for round in 0..6 {
         // In the later rounds the reply of a write is lost as well.
-        let lost = if round < 3 { 0 } else { 1 };
+        let lost = u32::from(round >= 3);
         fleet.set_faults("platform", json!({"lose_write_replies": lost, "delay_ms": 20})).await;
         let expect = seen.to_string();
         let outputs: Vec<Output> = std::thread::scope(|scope| {
--- a/crates/rail_testfleet/tests/membership.rs
+++ b/crates/rail_testfleet/tests/membership.rs
@@ -149,7 +149,8 @@
     let answered = Rc::new(Cell::new(0_u32));
     let clients = (0..12).map(|number| {
         let mut client = Client { known: first.clone(), expires_at: Instant::now(), turn: number };
-        let (running, wrong, answered) = (running.clone(), wrong.clone(), answered.clone());
+        let (running, wrong) = (Rc::clone(&running), Rc::clone(&wrong));
+        let answered = Rc::clone(&answered);
         actix_rt::spawn(async move {
             while running.get() {
                 let ask = Ask::new(&format!("llama:a{}@v2", number % 4), 20 + number as u32);
