Requests: one machine for attempts, retries, resumed streams and outcomes

A gateway took the first Dispatched as the end of its choices: a refusal by the engine after it, a killed or frozen scheduler and a crashed engine all ended the request. The machine (charts/request.toml) now decides: a true refusal goes to another candidate at any time before a part; a lost attempt is repeated only if the request is idempotent, its caller saw nothing and the budget of its cause has a retry left; a broken stream is read on from the engine at its offset; an attempt that may have run is never called not_run, also when a later one was refused. A whole answer starts anew after a crash, a stream ends by an error.

A request whose upstream crashed becomes a suspect in the platform and is run alone once; after the second crash its fingerprint is quarantined on all hosts.

--- a/crates/rail_request/src/lib.rs
+++ b/crates/rail_request/src/lib.rs
@@ -3,12 +3,17 @@
 //! [`WorkOrder`] is what a gateway submits to the owner of an engine;
 //! [`WorkEvent`]s come back. [`NotRun`] is only ever said when no byte of the
 //! request reached an upstream, or the upstream refused it before running.
-//! [`Claim`] runs a keyed request at most once over all hosts.
+//! [`Request`] decides attempts, retries and the outcome of one request,
+//! [`Claim`] runs a keyed request at most once over all hosts, and
+//! [`QuarantineRecord`] holds back requests that crash their upstreams.
 
 pub mod claim;
 pub mod claim_record;
 pub mod fingerprint;
 pub mod outcome;
+pub mod quarantine;
+pub mod request;
+pub mod retry;
 pub mod work;
 
 /// Commonly used items.
@@ -20,6 +25,12 @@
         },
         fingerprint::Fingerprint,
         outcome::{Failed, NotRun, NotRunReason},
+        quarantine::{CrashVerdict, QuarantineRecord, TrialId},
+        request::{
+            Ending, Request, RequestCommand, RequestEvent, RequestEventKind, RequestState,
+            request_chart,
+        },
+        retry::{RetryBudget, RetryCause},
         work::{RequestId, WorkEvent, WorkOrder},
     };
 }
--- a/crates/rail_request/src/outcome.rs
+++ b/crates/rail_request/src/outcome.rs
@@ -57,6 +57,9 @@
     /// The upstream ran it and reported a failure.
     #[error("upstream_failed")]
     UpstreamFailed,
+    /// The upstream crashed while it ran.
+    #[error("upstream_crashed")]
+    UpstreamCrashed,
     /// The answer came from another adapter or version than named.
     #[error("wrong_adapter")]
     WrongAdapter,
--- a/crates/rail_request/src/work.rs
+++ b/crates/rail_request/src/work.rs
@@ -24,6 +24,8 @@
     pub urgent: bool,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether nothing else may run on the engine at the same time.
+    pub isolated: bool,
     /// Caller, for fair shares.
     pub caller: String,
     /// Time left until the answer is of no use.
--- /dev/null
+++ b/crates/rail_testfleet/tests/requests.rs
@@ -0,0 +1,190 @@
+//! What happens to requests when processes fail, with real processes.
+
+use futures_util::future::{join, join_all};
+use rail_testfleet::{Answer, Ask, FleetPlan, TestFleet};
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+fn plan(token_ms: u64) -> FleetPlan {
+    let engine_flags = vec![format!("--token-ms={token_ms}"), "--batch=8".to_owned()];
+    FleetPlan { adapters: 2, engine_flags, ..FleetPlan::default() }
+}
+
+fn refusal(reason: &str, ran: &str) -> Answer {
+    Answer::Problem { reason: reason.to_owned(), ran: ran.to_owned() }
+}
+
+async fn pause(milliseconds: u64) {
+    actix_rt::time::sleep(Duration::from_millis(milliseconds)).await;
+}
+
+async fn executions(fleet: &TestFleet, engine: &str) -> usize {
+    fleet.stats(engine).await["executions"].as_array().map_or(0, Vec::len)
+}
+
+/// Finds the engine that runs something.
+async fn busy_engine(fleet: &TestFleet) -> String {
+    for engine in ["engine1", "engine2", "engine3"] {
+        if executions(fleet, engine).await > 0 {
+            return engine.to_owned();
+        }
+    }
+    panic!("no engine runs anything");
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    Kill,
+    Freeze,
+}
+
+/// Streams from a gateway on another host than the owner, which fails after this time.
+async fn fail_owner(fault: Fault, after_ms: u64) {
+    let mut fleet = TestFleet::start(plan(20));
+    let ask = Ask::new("llama:a0@v1", 100);
+    // Loads the adapter and shows which engine is first.
+    ask.send(&fleet.caller_url(1)).await;
+    let engine = busy_engine(&fleet).await;
+    let owner = fleet.owners()[&engine].clone();
+    let gateway = (1..=3).find(|n| format!("host{n}") != owner).expect("three hosts");
+    let url = fleet.caller_url(gateway);
+    let scheduler = format!("{owner}/scheduler");
+    let (answer, ()) = join(ask.stream(&url), async {
+        pause(after_ms).await;
+        match fault {
+            Fault::Kill => fleet.kill(&scheduler),
+            Fault::Freeze => fleet.process(&scheduler).freeze(),
+        }
+    })
+    .await;
+    assert!(ask.is_answered_by(&answer), "{fault:?} after {after_ms} ms: {answer:?}");
+}
+
+#[actix_rt::test]
+async fn a_stream_is_read_on_when_its_scheduler_is_killed() {
+    for after_ms in [5, 500, 1900] {
+        fail_owner(Fault::Kill, after_ms).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_stream_is_read_on_when_its_scheduler_is_frozen() {
+    for after_ms in [5, 500] {
+        fail_owner(Fault::Freeze, after_ms).await;
+    }
+}
+
+#[actix_rt::test]
+async fn a_crashed_engine_ends_streams_explicitly_and_whole_answers_come() {
+    let fleet = TestFleet::start(plan(20));
+    let ask = Ask::new("llama:a0@v1", 50);
+    ask.send(&fleet.caller_url(1)).await;
+    let engine = busy_engine(&fleet).await;
+    let url = fleet.caller_url(1);
+    let requests = join(ask.stream(&url), ask.send(&url));
+    let ((streamed, whole), ()) = join(requests, async {
+        pause(400).await;
+        fleet.set_faults(&engine, json!({"crash": true})).await;
+    })
+    .await;
+    assert_eq!(streamed, refusal("upstream_crashed", "unknown"));
+    assert!(ask.is_answered_by(&whole), "{whole:?}");
+}
+
+#[actix_rt::test]
+async fn an_engine_that_refuses_is_left_for_another() {
+    let mut fleet = TestFleet::start(plan(5));
+    let ask = Ask::new("llama:a0@v1", 5);
+    ask.send(&fleet.caller_url(1)).await;
+    let engine = busy_engine(&fleet).await;
+    fleet.kill(&engine);
+    let mut once = ask.clone();
+    once.fields = json!({"idempotent": false});
+    for host in [1, 2, 3] {
+        let answer = once.send(&fleet.caller_url(host)).await;
+        assert!(ask.is_answered_by(&answer), "host{host}: {answer:?}");
+    }
+}
+
+#[actix_rt::test]
+async fn work_without_a_key_is_dispatched_once() {
+    let fleet = TestFleet::start(plan(20));
+    let mut ask = Ask::new("llama:a0@v1", 50);
+    ask.fields = json!({"idempotent": false});
+    ask.send(&fleet.caller_url(1)).await;
+    let engine = busy_engine(&fleet).await;
+    let url = fleet.caller_url(1);
+    let (answer, ()) = join(ask.send(&url), async {
+        pause(400).await;
+        fleet.set_faults(&engine, json!({"crash": true})).await;
+    })
+    .await;
+    assert_eq!(answer, refusal("upstream_crashed", "unknown"));
+    pause(500).await;
+    let mut runs = 0;
+    for number in 1..=3 {
+        runs += executions(&fleet, &format!("engine{number}")).await;
+    }
+    assert_eq!(runs, 2, "one before the crash and one that crashed");
+}
+
+#[actix_rt::test]
+async fn a_request_that_crashes_engines_is_quarantined_and_bystanders_come_through() {
+    let fleet = TestFleet::start(plan(20));
+    let url = fleet.caller_url(1);
+    let bystander = Ask::new("llama:a0@v1", 60);
+    bystander.send(&url).await;
+    let mut poison = Ask::new("llama:a0@v1", 5);
+    poison.prompt = "CRASH-THE-ENGINE".to_owned();
+    let bystanders: Vec<Ask> = (0..4)
+        .map(|n| Ask { prompt: format!("question {}", n / 2), ..bystander.clone() })
+        .collect();
+    let sends = join_all(bystanders.iter().map(|ask| ask.send(&url)));
+    let (answers, (first, crashed_at)) = join(sends, async {
+        pause(300).await;
+        let answer = poison.send(&url).await;
+        (answer, Instant::now())
+    })
+    .await;
+    assert_eq!(first, refusal("upstream_crashed", "unknown"));
+    for (ask, answer) in bystanders.iter().zip(&answers) {
+        assert!(ask.is_answered_by(answer), "{answer:?}");
+    }
+    assert!(fleet.sum_engines("crashes").await <= 2);
+    let wait = Duration::from_secs(2).saturating_sub(crashed_at.elapsed());
+    actix_rt::time::sleep(wait).await;
+    for host in [1, 2, 3, 2, 1] {
+        let again = poison.send(&fleet.caller_url(host)).await;
+        assert_eq!(again, refusal("quarantined", "no"), "host{host}");
+    }
+    assert!(fleet.sum_engines("crashes").await <= 2);
+}
+
+#[actix_rt::test]
+async fn a_caller_that_sends_it_again_at_once_crashes_no_third_engine() {
+    let fleet = TestFleet::start(plan(20));
+    let mut poison = Ask::new("llama:a0@v1", 5);
+    poison.prompt = "CRASH-THE-ENGINE".to_owned();
+    for round in 0..9 {
+        let answer = poison.send(&fleet.caller_url(round % 3 + 1)).await;
+        assert!(matches!(answer, Answer::Problem { .. }), "{answer:?}");
+        pause(50).await;
+    }
+    assert!(fleet.sum_engines("crashes").await <= 2);
+}
+
+#[actix_rt::test]
+async fn quarantine_holds_on_all_hosts_within_two_seconds() {
+    let fleet = TestFleet::start(plan(20));
+    let mut poison = Ask::new("llama:a0@v1", 5);
+    poison.prompt = "CRASH-THE-ENGINE".to_owned();
+    poison.send(&fleet.caller_url(1)).await;
+    let started = Instant::now();
+    for host in [2, 3] {
+        while poison.send(&fleet.caller_url(host)).await != refusal("quarantined", "no") {
+            assert!(started.elapsed() < Duration::from_secs(2), "host{host}");
+            pause(10).await;
+        }
+    }
+    println!("time to quarantine after the answer: {:?}", started.elapsed());
+}
--- a/crates/rail_upstream/src/engine.rs
+++ b/crates/rail_upstream/src/engine.rs
@@ -20,6 +20,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time in which an order must be answered.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time in which a resumed stream must begin.
+const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
 /// Data of the event that ends a stream.
 const STREAM_END: &str = "[DONE]";
 
@@ -155,6 +157,18 @@
         Ok(read_parts(check_status(reply)?))
     }
 
+    /// Reads a completion again after the parts that have arrived.
+    ///
+    /// # Errors
+    /// [`Error::Refused`] when the engine does not know it, or a failure of the call.
+    pub async fn resume(&self, request_id: u128, received: u64) -> Result<PartStream> {
+        let after = received.checked_sub(1).map(|last| format!("&starting_after={last}"));
+        let after = after.unwrap_or_default();
+        let url = format!("{}/v1/responses/{request_id:032x}?stream=true{after}", self.url);
+        let reply = self.http.get(url).timeout(RESUME_TIMEOUT).send().await;
+        Ok(read_parts(check_status(reply.map_err(|error| classify_send(&error))?)?))
+    }
+
     /// Cancels a completion.
     ///
     /// # Errors
--- a/crates/tarragon_gateway/src/caller.rs
+++ b/crates/tarragon_gateway/src/caller.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     Gateway,
+    answer::{Answer, Part},
     claims::{KeptAnswer, Keyed, scoped_key},
     entry::list_entry_hosts,
     problem::{Problem, Result},
-    route::{Answer, Part},
     services::call_service,
 };
 use actix_web::{HttpRequest, HttpResponse, web};
@@ -152,7 +152,7 @@
 async fn answer_whole(gateway: &Gateway, asked: Asked) -> Result<HttpResponse> {
     let order = read_order(gateway, &asked)?;
     let id = order.request_id;
-    let text = collect(gateway.submit(order).await?).await?;
+    let text = collect(gateway.submit(order, false).await?).await?;
     gateway.metrics.answers.inc();
     Ok(HttpResponse::Ok().json(whole(id, &asked.model, &text, asked.shape)))
 }
@@ -160,7 +160,7 @@
 async fn answer_stream(gateway: Data, asked: Asked) -> Result<HttpResponse> {
     let order = read_order(&gateway, &asked)?;
     let id = order.request_id;
-    let answer = gateway.submit(order).await?;
+    let answer = gateway.submit(order, true).await?;
     Ok(stream_answer(gateway, id, asked.model, answer, asked.shape))
 }
 
@@ -177,7 +177,7 @@
     let work = {
         let gateway = gateway.clone();
         async move {
-            let text = collect(gateway.submit(order).await?).await?;
+            let text = collect(gateway.submit(order, false).await?).await?;
             gateway.metrics.answers.inc();
             let (content_type, body) = if stream {
                 let data = chunk(id, &model, &text, shape);
@@ -224,6 +224,7 @@
         max_tokens,
         urgent: urgency == Urgency::Urgent,
         idempotent: options.idempotent,
+        isolated: false,
         caller: options.user.clone().unwrap_or_default(),
         deadline: options.deadline_ms.map_or(default_deadline, Duration::from_millis),
     })
@@ -234,6 +235,7 @@
     loop {
         match answer.next().await? {
             Part::Token(token) => text.push_str(&token),
+            Part::Restart => text.clear(),
             Part::Final => return Ok(text),
         }
     }
@@ -252,6 +254,7 @@
         async move {
             let (gateway, mut answer) = state?;
             let (event, next) = match answer.next().await {
+                Ok(Part::Restart) => (String::new(), Some((gateway, answer))),
                 Ok(Part::Token(text)) => {
                     let data = chunk(id, &model, &text, shape);
                     (format!("data: {data}\n\n"), Some((gateway, answer)))
--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -1,16 +1,20 @@
 //! Caller API: routes requests to the owners of engines.
 //!
 //! [`caller`] holds the HTTP handlers, [`route`] finds the owner of a
-//! candidate engine and follows the answer, [`services`] passes calls to
-//! plain upstreams, [`claims`] runs keyed requests at most once, [`collect`]
-//! removes old claims, [`problem`] writes errors.
+//! candidate engine, [`answer`] follows the request to its outcome, [`services`] passes calls to
+//! plain upstreams, [`resume`] reads broken streams on, [`quarantine`] holds
+//! back requests that crash upstreams, [`claims`] runs keyed requests at most
+//! once, [`collect`] removes old claims, [`problem`] writes errors.
 
+mod answer;
 mod caller;
 mod claims;
 mod collect;
 mod entry;
 mod metrics;
 mod problem;
+mod quarantine;
+mod resume;
 mod route;
 mod services;
 
@@ -19,8 +23,9 @@
 use rail_member::{Heartbeat, Role};
 use rail_peer::{Gossip, PeerClient};
 use rail_platform::{ConfigFollower, ObjectKind, PlatformClient, WatchCache};
+use rail_request::RetryBudget;
 use rail_runtime::{FleetSettings, Keys, Metrics, StopSignal, start_logging};
-use std::{net::SocketAddr, time::Duration};
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Largest body of a caller's request in bytes.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -54,6 +59,10 @@
     pub owners: WatchCache,
     /// Platform object API.
     pub platform: PlatformClient,
+    /// Requests that crash their upstreams.
+    pub quarantine: quarantine::Quarantine,
+    /// Retries that may still be made.
+    pub budget: Rc<RefCell<RetryBudget>>,
     /// Known processes.
     pub gossip: Gossip,
     /// Links to schedulers.
@@ -86,6 +95,11 @@
         let gateway = Self {
             config: ConfigFollower::spawn(platform.clone()),
             owners: WatchCache::spawn(platform.clone(), ObjectKind::Owner),
+            quarantine: quarantine::Quarantine::spawn(
+                platform.clone(),
+                shared.metrics.crashes.clone(),
+            ),
+            budget: Rc::default(),
             platform: platform.clone(),
             services: services::Services::default(),
             settings: shared.settings,
--- a/crates/tarragon_gateway/src/metrics.rs
+++ b/crates/tarragon_gateway/src/metrics.rs
@@ -16,6 +16,10 @@
     pub retries: Reasons,
     /// Arrivals of keyed requests and calls for their claims, by what came of them.
     pub claims: Reasons,
+    /// Broken streams, by what came of them.
+    pub streams: Reasons,
+    /// Requests that crash upstreams, by what was decided.
+    pub crashes: Reasons,
 }
 
 impl GatewayMetrics {
@@ -26,6 +30,8 @@
             refusals: metrics.reasons("gateway_refusals", "Requests refused"),
             failures: metrics.reasons("gateway_failures", "Requests that failed after dispatch"),
             retries: metrics.reasons("gateway_retries", "Attempts at another candidate"),
+            streams: metrics.reasons("gateway_streams", "Broken streams, by what came of them"),
+            crashes: metrics.reasons("gateway_crashes", "Requests that crash upstreams"),
             claims: metrics.reasons("gateway_claims", "Arrivals of keyed requests"),
         }
     }
--- a/crates/tarragon_gateway/src/problem.rs
+++ b/crates/tarragon_gateway/src/problem.rs
@@ -11,7 +11,7 @@
 const FAILED_RETRY: Duration = Duration::from_secs(1);
 
 /// Result of a caller's request.
-pub type Result<T> = std::result::Result<T, Problem>;
+pub type Result<T, E = Problem> = std::result::Result<T, E>;
 
 /// Why a caller gets no answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
