Scheduler tells a crash from a lost connection and runs suspects alone

After a broken stream the owner reads the engine's report once: no report or another boot id is a crash. An order marked as isolated waits for the engine to be empty and nothing joins it.

--- a/crates/tarragon_scheduler/src/engine.rs
+++ b/crates/tarragon_scheduler/src/engine.rs
@@ -94,6 +94,7 @@
     budget: LoadBudget,
     waiting: Vec<Waiting>,
     in_flight: usize,
+    is_isolated: bool,
     boot_id: Option<u64>,
     adopted: Vec<String>,
     draining: Vec<oneshot::Sender<()>>,
@@ -121,6 +122,7 @@
             budget: LoadBudget::new(1.0, 1.0, clock.now()),
             waiting: Vec::new(),
             in_flight: 0,
+            is_isolated: false,
             boot_id: None,
             adopted: Vec::new(),
             draining: Vec::new(),
@@ -147,8 +149,14 @@
         if self.boot_id.is_none() || !self.session.is_in_force() {
             return;
         }
+        self.waiting.sort_by_key(|w| !w.order.isolated);
+        let is_isolation_due = self.waiting.iter().any(|w| {
+            w.order.isolated && self.residency.admit(&w.order.model) == Admission::Resident
+        });
         for waiting in std::mem::take(&mut self.waiting) {
-            if let Some(waiting) = self.start_or_keep(waiting, now, ctx) {
+            if is_isolation_due && !waiting.order.isolated {
+                self.waiting.push(waiting);
+            } else if let Some(waiting) = self.start_or_keep(waiting, now, ctx) {
                 self.waiting.push(waiting);
             }
         }
@@ -163,6 +171,7 @@
     ) -> Option<Waiting> {
         let adapter = waiting.order.model.clone();
         match self.residency.admit(&adapter) {
+            Admission::Resident if !self.may_join(&waiting.order) => {}
             Admission::Resident if self.in_flight < self.batch + DISPATCH_AHEAD => {
                 self.dispatch(waiting, now, ctx);
                 return None;
@@ -174,6 +183,11 @@
         Some(waiting)
     }
 
+    /// Reports whether an order may run beside what is in flight; an isolated one runs alone.
+    fn may_join(&self, order: &WorkOrder) -> bool {
+        !self.is_isolated && (!order.isolated || self.in_flight == 0)
+    }
+
     fn take_permit(&mut self, now: Duration) -> bool {
         let store = self.config.current().store_budget;
         let share = f64::from(store.loads_per_s) / self.session.live_sessions() as f64;
@@ -194,7 +208,9 @@
             order: waiting.order,
             events: waiting.events,
             metrics: self.metrics.clone(),
+            boot_id: self.boot_id,
         };
+        self.is_isolated = run.order.isolated;
         actix_rt::spawn(async move {
             run.complete().await;
             drop(in_use);
@@ -321,6 +337,7 @@
 
     fn handle(&mut self, message: Finished, ctx: &mut Self::Context) {
         self.in_flight -= 1;
+        self.is_isolated &= self.in_flight > 0;
         self.residency.release(&message.adapter);
         self.pump(ctx);
         self.finish_drain();
@@ -363,6 +380,7 @@
     order: WorkOrder,
     events: Events,
     metrics: SchedulerMetrics,
+    boot_id: Option<u64>,
 }
 
 impl Run {
@@ -403,7 +421,7 @@
             Err(rail_upstream::Error::Failed(_)) => {
                 return WorkEvent::Failed(Failed::UpstreamFailed);
             }
-            Err(_) => return WorkEvent::Failed(Failed::UnknownOutcome),
+            Err(_) => return WorkEvent::Failed(self.judge_loss().await),
         };
         let mut expected = 0;
         while let Some(part) = parts.next().await {
@@ -424,7 +442,15 @@
                 Ok(StreamPart::Token { .. }) | Err(_) => break,
             }
         }
-        WorkEvent::Failed(Failed::UnknownOutcome)
+        WorkEvent::Failed(self.judge_loss().await)
+    }
+
+    /// Tells a lost connection from a crash: the engine does not serve, or has started cold.
+    async fn judge_loss(&self) -> Failed {
+        match self.client.load_report().await {
+            Ok(report) if Some(report.boot_id) == self.boot_id => Failed::UnknownOutcome,
+            _ => Failed::UpstreamCrashed,
+        }
     }
 
     async fn cancel(&self) {
