--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -1,11 +1,13 @@
 //! Caller API: routes requests to the owners of engines.
 //!
 //! [`caller`] holds the HTTP handlers, [`route`] finds the owner of a
-//! candidate engine and follows the answer, [`load`] counts requests in
-//! progress, [`services`] passes calls to plain upstreams, [`claims`] runs
-//! keyed requests at most once, [`collect`] removes old claims, [`problem`]
-//! writes errors.
+//! candidate engine, [`answer`] follows the request to its outcome, [`load`]
+//! counts requests in progress, [`services`] passes calls to plain upstreams,
+//! [`resume`] reads broken streams on, [`quarantine`] holds back requests that
+//! crash upstreams, [`claims`] runs keyed requests at most once, [`collect`]
+//! removes old claims, [`problem`] writes errors.
 
+mod answer;
 mod caller;
 mod claims;
 mod collect;
@@ -13,6 +15,8 @@
 mod load;
 mod metrics;
 mod problem;
+mod quarantine;
+mod resume;
 mod route;
 mod services;
 
@@ -20,9 +24,12 @@
 use rail_member::{Heartbeat, Role};
 use rail_peer::{Gossip, PeerClient, follow_configuration, follow_sessions};
 use rail_platform::{ConfigFollower, HostList, ObjectKind, PlatformClient, WatchCache};
+use rail_request::RetryBudget;
 use rail_runtime::{FleetSettings, LiveKeys, Metrics, StopSignal, start_logging};
 use std::{
+    cell::RefCell,
     net::SocketAddr,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
@@ -62,6 +69,10 @@
     pub owners: WatchCache,
     /// Platform object API.
     pub platform: PlatformClient,
+    /// Requests that crash their upstreams.
+    pub quarantine: quarantine::Quarantine,
+    /// Retries that may still be made.
+    pub budget: Rc<RefCell<RetryBudget>>,
     /// Known processes.
     pub gossip: Gossip,
     /// Links to schedulers.
@@ -97,6 +108,11 @@
         let gateway = Self {
             config: ConfigFollower::spawn(platform.clone()),
             owners: WatchCache::spawn(platform.clone(), ObjectKind::Owner),
+            quarantine: quarantine::Quarantine::spawn(
+                platform.clone(),
+                shared.metrics.crashes.clone(),
+            ),
+            budget: Rc::default(),
             platform: platform.clone(),
             services: services::Services::default(),
             settings: shared.settings,
--- a/crates/tarragon_scheduler/src/engine/mod.rs
+++ b/crates/tarragon_scheduler/src/engine/mod.rs
@@ -17,7 +17,7 @@
 };
 use orders::PermitTask;
 use queue::{Queue, Waiting};
-use rail_admit::{RefusalReason, Refused};
+use rail_admit::{EntryId, RefusalReason, Refused};
 use rail_config::Upstream;
 use rail_place::{AdapterKey, EnginePlanner, EngineShape, SlotTicket};
 use rail_platform::ConfigFollower;
@@ -104,6 +104,7 @@
     asks: BTreeMap<AdapterKey, PermitTask>,
     preparing: BTreeSet<AdapterKey>,
     in_flight: usize,
+    is_isolated: bool,
     boot_id: Option<u64>,
     adopted: Vec<SlotTicket>,
     adopted_at: Duration,
@@ -134,6 +135,7 @@
             asks: BTreeMap::new(),
             preparing: BTreeSet::new(),
             in_flight: 0,
+            is_isolated: false,
             boot_id: None,
             adopted: Vec::new(),
             adopted_at: Duration::ZERO,
@@ -176,13 +178,27 @@
         }
         let order = self.queue.order(now);
         let plan = self.planner.plan(&self.queue.items(&order), self.in_flight, now);
-        for waiting in self.queue.remove_positions(&order, &plan.dispatch) {
+        let dispatch = self.keep_isolated_alone(&order, plan.dispatch);
+        for waiting in self.queue.remove_positions(&order, &dispatch) {
             self.dispatch(waiting, now, ctx);
         }
         self.follow_wishes(&plan.loads, ctx);
         self.finish_drain();
     }
 
+    /// Gives an isolated request the engine for itself, once its adapter is resident.
+    fn keep_isolated_alone(&self, order: &[EntryId], planned: Vec<usize>) -> Vec<usize> {
+        if self.is_isolated {
+            return Vec::new();
+        }
+        let residency = self.planner.residency();
+        match self.queue.find_isolated(order, |adapter| residency.is_resident(adapter)) {
+            None => planned,
+            Some(position) if self.in_flight == 0 => vec![position],
+            Some(_) => Vec::new(),
+        }
+    }
+
     fn dispatch(&mut self, waiting: Waiting, now: Duration, ctx: &mut Context<Self>) {
         let residency = self.planner.residency_mut();
         let Some(ticket) = residency.acquire(&waiting.order.model, now) else {
@@ -193,6 +209,7 @@
         let stall = since.saturating_sub(waiting.arrived_at);
         self.metrics.count_stall(waiting.order.urgent, stall);
         self.in_flight += 1;
+        self.is_isolated = waiting.order.isolated;
         let in_use = InUse { ticket: Some(ticket), engine: ctx.address() };
         let run = Run {
             client: self.client.clone(),
@@ -200,6 +217,7 @@
             order: waiting.order,
             events: waiting.events,
             metrics: self.metrics.clone(),
+            boot_id: self.boot_id,
         };
         actix_rt::spawn(async move {
             run.complete().await;
@@ -246,6 +264,7 @@
         let saturated = self.in_flight >= self.batch;
         self.queue.finish_one(self.clock.now(), saturated);
         self.in_flight -= 1;
+        self.is_isolated &= self.in_flight > 0;
         let released = self.planner.residency_mut().release(message.ticket);
         self.count_undone(released);
         self.pump(ctx);
--- a/crates/tarragon_scheduler/src/engine/queue.rs
+++ b/crates/tarragon_scheduler/src/engine/queue.rs
@@ -85,6 +85,16 @@
         ids.filter_map(|id| self.waiting.take(*id)).collect()
     }
 
+    /// Finds the first isolated request whose adapter `is_ready`, by its position in an order.
+    pub(super) fn find_isolated(
+        &self,
+        order: &[EntryId],
+        is_ready: impl Fn(&str) -> bool,
+    ) -> Option<usize> {
+        let is_due = |waiting: &Waiting| waiting.order.isolated && is_ready(&waiting.order.model);
+        order.iter().position(|id| self.waiting.find(*id).is_some_and(|(_, w)| is_due(w)))
+    }
+
     /// Counts the requests that wait for each adapter.
     pub(super) fn count_by_adapter(&self) -> BTreeMap<AdapterKey, u32> {
         let mut counts = BTreeMap::new();
--- a/crates/tarragon_scheduler/src/engine/run.rs
+++ b/crates/tarragon_scheduler/src/engine/run.rs
@@ -16,6 +16,7 @@
     pub(super) order: WorkOrder,
     pub(super) events: Events,
     pub(super) metrics: SchedulerMetrics,
+    pub(super) boot_id: Option<u64>,
 }
 
 impl Run {
@@ -57,7 +58,7 @@
             Err(rail_upstream::Error::Failed(_)) => {
                 return WorkEvent::Failed(Failed::UpstreamFailed);
             }
-            Err(_) => return WorkEvent::Failed(Failed::UnknownOutcome),
+            Err(_) => return WorkEvent::Failed(self.judge_loss().await),
         };
         let mut expected = 0;
         while let Some(part) = parts.next().await {
@@ -78,7 +79,15 @@
                 Ok(StreamPart::Token { .. }) | Err(_) => break,
             }
         }
-        WorkEvent::Failed(Failed::UnknownOutcome)
+        WorkEvent::Failed(self.judge_loss().await)
+    }
+
+    /// Tells a lost connection from a crash: the engine does not serve, or has started cold.
+    async fn judge_loss(&self) -> Failed {
+        match self.client.load_report().await {
+            Ok(report) if Some(report.boot_id) == self.boot_id => Failed::UnknownOutcome,
+            _ => Failed::UpstreamCrashed,
+        }
     }
 
     async fn cancel(&self) {
