tarragon-load: open-loop traces, replay in virtual time, runs on a fleet, plots

Cause: nothing measured load stalls or batch efficiency. Change: profiles utility and cooperative with the deployments' sizes, seeded Poisson arrivals with Zipf popularity, shifts; replay drives the planner, residency, permits and widths that the processes embed, with the stand-ins' load-time formula; reports say which method made them. Ran: cargo test -p tarragon_load, 5 passed.

--- a/crates/rail_place/tests/permits.rs
+++ b/crates/rail_place/tests/permits.rs
@@ -76,7 +76,7 @@
         }
         (0..grants.len()).all(|first| {
             (first..grants.len()).all(|last| {
-                let window_s = (grants[last] - grants[first]).as_secs_f64();
+                let window_s = grants[last].saturating_sub(grants[first]).as_secs_f64();
                 (last - first + 1) as f64 <= LIMITS.burst + LIMITS.rate_per_s * window_s + 0.001
             })
         })
--- a/crates/tarragon_load/src/main.rs
+++ b/crates/tarragon_load/src/main.rs
@@ -1,86 +1,124 @@
-//! Load and experiment tool.
-//!
-//! `tarragon-load --url URL --model NAME ...` sends completions and reports
-//! latency percentiles as JSON.
+//! Command line of the load and experiment tool.
 
-use awc::Client;
 use gumdrop::Options;
-use hdrhistogram::Histogram;
-use serde_json::json;
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-    time::{Duration, Instant},
+use rail_place::{InvalidWeights, Objective, UnknownPolicy};
+use std::{fs, time::Duration};
+use tarragon_load::{
+    compare,
+    flags::{Command, CompareFlags, Flags, ReplayFlags, RunFlags},
+    page,
+    profile::{Profile, Shift, UnknownName},
+    replay::replay,
+    report::{self, Method, Report},
+    run::run,
+    trace,
 };
 
-#[derive(Debug, Options)]
-struct Flags {
-    /// print this help
-    help: bool,
-    /// URL of the completions call
-    #[options(required)]
-    url: String,
-    /// model name; give it several times to spread requests
-    model: Vec<String>,
-    /// requests in all
-    #[options(default = "1000")]
-    requests: u64,
-    /// requests at once
-    #[options(default = "8")]
-    concurrency: usize,
-    /// tokens in each answer
-    #[options(default = "1")]
-    tokens: u32,
-}
+/// Policies that are measured unless others are named.
+const ALL_POLICIES: [&str; 5] =
+    ["rendezvous", "hash-lru", "hash-lfu", "least-loaded", "no-permits"];
+/// Exit code of a wrong command line.
+const EXIT_USAGE: i32 = 2;
 
 #[derive(Debug, thiserror::Error)]
 enum Error {
-    #[error("histogram: {0}")]
-    Histogram(#[from] hdrhistogram::CreationError),
+    #[error(transparent)]
+    Name(#[from] UnknownName),
+    #[error(transparent)]
+    Policy(#[from] UnknownPolicy),
+    #[error(transparent)]
+    Weights(#[from] InvalidWeights),
+    #[error(transparent)]
+    Trace(#[from] trace::Error),
+    #[error(transparent)]
+    Report(#[from] report::Error),
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
 }
 
+type Result<T> = std::result::Result<T, Error>;
+
 #[actix_rt::main]
-async fn main() -> Result<(), Error> {
-    let flags = Rc::new(Flags::parse_args_default_or_exit());
-    let latency = Rc::new(RefCell::new(Histogram::<u64>::new_with_bounds(1, 60_000_000, 3)?));
-    let sent = Rc::new(Cell::new(0_u64));
-    let failed = Rc::new(Cell::new(0_u64));
-    let started = Instant::now();
-    let workers = (0..flags.concurrency).map(|_| {
-        let (flags, latency) = (Rc::clone(&flags), Rc::clone(&latency));
-        let (sent, failed) = (Rc::clone(&sent), Rc::clone(&failed));
-        actix_rt::spawn(async move {
-            let client = Client::builder().timeout(Duration::from_secs(30)).finish();
-            while sent.get() < flags.requests {
-                let number = sent.replace(sent.get() + 1) as usize;
-                let begun = Instant::now();
-                if send(&client, &flags, number).await {
-                    latency.borrow_mut().saturating_record(begun.elapsed().as_micros() as u64);
-                } else {
-                    failed.set(failed.get() + 1);
-                }
-            }
-        })
-    });
-    futures_util::future::join_all(workers).await;
-    let elapsed_s = started.elapsed().as_secs_f64();
-    let latency = latency.borrow();
-    let report = json!({
-        "answers": latency.len(), "failed": failed.get(),
-        "p50_us": latency.value_at_quantile(0.5), "p99_us": latency.value_at_quantile(0.99),
-        "answers_per_s": latency.len() as f64 / elapsed_s,
-    });
-    println!("{report}");
+async fn main() {
+    let flags = Flags::parse_args_default_or_exit();
+    let done = match flags.command {
+        Some(Command::Run(flags)) => run_fleet(flags).await,
+        Some(Command::Replay(flags)) => replay_all(&flags),
+        Some(Command::Compare(flags)) => compare_two(&flags),
+        None => {
+            eprintln!("{}", Flags::usage());
+            std::process::exit(EXIT_USAGE);
+        }
+    };
+    if let Err(error) = done {
+        eprintln!("{error}");
+        std::process::exit(EXIT_USAGE);
+    }
+}
+
+async fn run_fleet(flags: RunFlags) -> Result<()> {
+    let mut profile: Profile = flags.profile.parse()?;
+    let shift: Shift = flags.shift.parse()?;
+    profile.adapters = flags.adapters.unwrap_or(profile.adapters);
+    profile.warm_up = Duration::ZERO;
+    profile.measured = Duration::from_secs(flags.seconds);
+    profile.scale_rates(flags.rate);
+    if let Some(deadline_s) = flags.deferrable_deadline_s {
+        profile.deferrable.deadline = Duration::from_secs(deadline_s);
+    }
+    let arrivals = trace::arrivals(&profile, shift, flags.seed)?;
+    let report = run(flags, profile, shift, &arrivals).await?;
+    println!("{}", serde_json::to_string_pretty(&report)?);
     Ok(())
 }
 
-async fn send(client: &Client, flags: &Flags, number: usize) -> bool {
-    let model = &flags.model[number % flags.model.len().max(1)];
-    let body = json!({
-        "model": model, "prompt": "when does the ferry leave", "max_tokens": flags.tokens,
-    });
-    match client.post(&flags.url).send_json(&body).await {
-        Ok(mut reply) => reply.status().is_success() && reply.body().limit(1 << 20).await.is_ok(),
-        Err(_) => false,
+fn replay_all(flags: &ReplayFlags) -> Result<()> {
+    let mut profile: Profile = flags.profile.parse()?;
+    profile.scale_rates(flags.rate);
+    let shift: Shift = flags.shift.parse()?;
+    let objective = match &flags.weights {
+        Some(weights) => weights.parse()?,
+        None => Objective::new(profile.weights.0, profile.weights.1)?,
+    };
+    let seeds = if flags.seed.is_empty() { vec![1] } else { flags.seed.clone() };
+    let mut policies: Vec<&str> = flags.policy.iter().map(String::as_str).collect();
+    if policies.is_empty() {
+        policies.extend(ALL_POLICIES);
+    }
+    let mut measures = Vec::new();
+    for policy in &policies {
+        for seed in &seeds {
+            eprintln!("{} {} seed {seed} of {seeds:?}", profile.name, policy);
+            let arrivals = trace::arrivals(&profile, shift, *seed)?;
+            let policy = (policy.parse()?, *policy);
+            measures.push(replay(&profile, shift, &arrivals, policy, objective, *seed)?);
+        }
     }
+    let report = Report {
+        method: Method::ReplayInVirtualTime,
+        profile: profile.name.to_owned(),
+        shift: flags.shift.clone(),
+        sizes: serde_json::to_value(&profile)?,
+        measures,
+    };
+    if let Some(path) = &flags.page {
+        fs::write(path, page::render(&report)?)?;
+    }
+    let json = serde_json::to_string_pretty(&report)?;
+    match &flags.out {
+        Some(path) => fs::write(path, json)?,
+        None => println!("{json}"),
+    }
+    Ok(())
+}
+
+fn compare_two(flags: &CompareFlags) -> Result<()> {
+    let [a, b] = flags.reports.as_slice() else {
+        eprintln!("{}", CompareFlags::usage());
+        std::process::exit(EXIT_USAGE);
+    };
+    print!("{}", compare::table(&compare::read_runs(a)?, &compare::read_runs(b)?));
+    Ok(())
 }
