--- /dev/null
+++ b/crates/tarragon_measure/tests/usage.rs
@@ -0,0 +1,19 @@
+//! Each measurement runs at a small size.
+
+use std::process::Command;
+
+#[test]
+fn each_command_prints_figures() {
+    let cases: [&[&str]; 4] = [
+        &["registry", "--adapters", "300", "--upstreams", "10"],
+        &["heartbeats", "--processes", "27"],
+        &["ownership", "--hosts", "9", "--engines", "20"],
+        &["placement", "--engines", "10", "--lookups", "10"],
+    ];
+    for args in cases {
+        let output =
+            Command::new(env!("CARGO_BIN_EXE_tarragon-measure")).args(args).output().expect("runs");
+        assert!(output.status.success(), "{args:?}: {}", String::from_utf8_lossy(&output.stderr));
+        assert!(String::from_utf8_lossy(&output.stdout).lines().count() >= 3, "{args:?}");
+    }
+}
