Sessions outlive a platform outage only while a majority of witnesses confirms it

Cause: a holder stopped at its TTL in every platform outage, and nothing kept a revoker from acting while a holder went on. Change: SessionHolder (charts/session.toml, pause detection, one unacknowledged record that is retried unchanged, period paced by fleet size), SessionWitness, SessionObserver with pledges and proof of replacement; witness messages over rail_peer; the scheduler ticks, asks, answers and ends its own session on leaving. Blind mode, one witness set, no wait, a replaced witness at once and no pledges are each caught.

--- a/crates/rail_lease/src/record.rs
+++ b/crates/rail_lease/src/record.rs
@@ -1,7 +1,7 @@
 //! Records kept in the platform's object API.
 
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 /// Identity of one session; a restarted process gets another.
 pub type SessionId = u64;
@@ -31,6 +31,25 @@
     pub leaving: bool,
     /// Whether the session has ended.
     pub revoked: bool,
+    /// Processes that a revoker needs the pledges of.
+    #[serde(default)]
+    pub witnesses: Vec<Witness>,
+}
+
+impl SessionRecord {
+    /// Gives the time to live.
+    pub fn ttl(&self) -> Duration {
+        Duration::from_millis(self.ttl_ms)
+    }
+}
+
+/// A process that takes part in deciding whether a session outlives a platform outage.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Witness {
+    /// Session of the process; a restarted process is another witness.
+    pub session_id: SessionId,
+    /// Address of its peer endpoint.
+    pub address: SocketAddr,
 }
 
 /// Who owns a resource.
--- a/crates/rail_peer/src/configuration.rs
+++ b/crates/rail_peer/src/configuration.rs
@@ -128,7 +128,10 @@
             PeerReply::ConfigurationSegment { name, text } => {
                 snapshot.segments.insert(name, text);
             }
-            PeerReply::Heartbeats(_) | PeerReply::Work(_) | PeerReply::LoadPermit(_) => {
+            PeerReply::Heartbeats(_)
+            | PeerReply::Work(_)
+            | PeerReply::LoadPermit(_)
+            | PeerReply::Witness(_) => {
                 return Err(Error::Unreadable);
             }
         }
--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -1,5 +1,6 @@
 //! Messages between processes.
 
+use rail_lease::{WitnessRefusal, WitnessRequest};
 use rail_member::Heartbeat;
 use rail_request::{WorkEvent, WorkOrder};
 use serde::{Deserialize, Serialize};
@@ -20,6 +21,8 @@
     },
     /// Grant a permit for one load; the load ends when the sender drops the call.
     LoadPermit(PermitRequest),
+    /// Act as a witness of a session.
+    Witness(WitnessRequest),
 }
 
 /// A load that waits for its permit.
@@ -60,4 +63,6 @@
     },
     /// Progress of a request for a load permit.
     LoadPermit(PermitReply),
+    /// What a witness answers.
+    Witness(Result<(), WitnessRefusal>),
 }
--- a/crates/tarragon_measure/src/ownership.rs
+++ b/crates/tarragon_measure/src/ownership.rs
@@ -60,5 +60,6 @@
         renewals: 100_000,
         leaving: false,
         revoked: false,
+        witnesses: Vec::new(),
     }
 }
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -1,7 +1,7 @@
 //! Owns engines: admission, residency and dispatch.
 //!
 //! One process runs on each entry host. [`session`] keeps the session alive
-//! and takes engines, [`engine`] runs one owned engine, [`serve`] answers the
+//! and takes engines, [`witness`] asks peers while the platform is away, [`engine`] runs one owned engine, [`serve`] answers the
 //! calls of peers.
 
 mod engine;
@@ -10,6 +10,7 @@
 mod metrics;
 mod serve;
 mod session;
+mod witness;
 
 use engine::{permit::PermitBroker, settings::PlacementSettings};
 use rail_lease::SessionRecord;
@@ -73,12 +74,14 @@
         renewals: 0,
         leaving: false,
         revoked: false,
+        witnesses: Vec::new(),
     };
     let clock = MonotonicClock::start();
     let session = session::Session::spawn(
         record,
         clock,
         platform,
+        client.clone(),
         config.clone(),
         gossip.clone(),
         counters.clone(),
--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -53,6 +53,14 @@
                             send_configuration(&config, above, &known_segments, replies).await;
                     });
                 }
+                PeerRequest::Witness(request) => {
+                    let answer = session.answer_as_witness(request);
+                    actix_rt::spawn(async move {
+                        if replies.send(&PeerReply::Witness(answer)).await.is_ok() {
+                            replies.finish();
+                        }
+                    });
+                }
             }
         }
     });
--- a/crates/tarragon_scheduler/src/session.rs
+++ b/crates/tarragon_scheduler/src/session.rs
@@ -7,15 +7,16 @@
 use actix::{Actor, Addr};
 use rail_config::UpstreamKind;
 use rail_lease::{
-    HolderCommand, OwnershipCommand, OwnershipRecord, ResourceId, SessionHolder, SessionObserver,
-    SessionRecord, plan_ownership,
+    CallEffect, HolderCommand, LeaseTimes, OwnershipCommand, OwnershipRecord, ResourceId,
+    SessionHolder, SessionId, SessionObserver, SessionRecord, SessionWitness, choose_witnesses,
+    plan_ownership,
 };
-use rail_peer::Gossip;
+use rail_peer::{Gossip, PeerClient};
 use rail_platform::{ConfigFollower, Error, ObjectKind, PlatformClient, WatchCache};
 use rail_runtime::MonotonicClock;
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     rc::Rc,
     time::Duration,
 };
@@ -24,6 +25,10 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Age above which the local copies count as out of date.
 const MAX_COPY_AGE: Duration = Duration::from_secs(2);
+/// Longest time past the time to live for which witnesses keep a session in force.
+const MAX_OUTAGE: Duration = Duration::from_secs(3600);
+/// Share of the time to live above which a gap between ticks counts as a pause.
+const PAUSE_SHARE: u32 = 2;
 
 /// The session of this process; clones share it.
 #[derive(Debug, Clone)]
@@ -31,19 +36,32 @@
     state: Rc<State>,
 }
 
+/// A question to a peer that is still open.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Asked {
+    pub session_id: SessionId,
+    pub witness: SessionId,
+    pub is_pledge: bool,
+}
+
 #[derive(Debug)]
-struct State {
-    clock: MonotonicClock,
-    holder: RefCell<SessionHolder>,
-    observer: RefCell<SessionObserver>,
+pub(crate) struct State {
+    pub(crate) clock: MonotonicClock,
+    pub(crate) holder: RefCell<SessionHolder>,
+    pub(crate) observer: RefCell<SessionObserver>,
+    pub(crate) witness: RefCell<SessionWitness>,
+    pub(crate) asked: RefCell<BTreeSet<Asked>>,
+    pub(crate) platform_answered_at: Cell<Option<Duration>>,
+    closing: Cell<bool>,
     owned: RefCell<BTreeMap<ResourceId, Owned>>,
     leaving: Cell<bool>,
     platform: PlatformClient,
+    pub(crate) peers: PeerClient,
     config: ConfigFollower,
-    sessions: WatchCache,
+    pub(crate) sessions: WatchCache,
     owners: WatchCache,
     gossip: Gossip,
-    metrics: SchedulerMetrics,
+    pub(crate) metrics: SchedulerMetrics,
 }
 
 #[derive(Debug)]
@@ -59,19 +77,26 @@
         record: SessionRecord,
         clock: MonotonicClock,
         platform: PlatformClient,
+        peers: PeerClient,
         config: ConfigFollower,
         gossip: Gossip,
         metrics: SchedulerMetrics,
     ) -> Self {
+        let times = LeaseTimes { pause_margin: record.ttl() / PAUSE_SHARE, max_outage: MAX_OUTAGE };
         let state = State {
             clock,
-            holder: RefCell::new(SessionHolder::new(record)),
-            observer: RefCell::default(),
+            holder: RefCell::new(SessionHolder::new(record, times)),
+            observer: RefCell::new(SessionObserver::new(times)),
+            witness: RefCell::default(),
+            asked: RefCell::default(),
+            platform_answered_at: Cell::new(None),
+            closing: Cell::new(false),
             owned: RefCell::default(),
             leaving: Cell::new(false),
             sessions: WatchCache::spawn(platform.clone(), ObjectKind::Session),
             owners: WatchCache::spawn(platform.clone(), ObjectKind::Owner),
             platform,
+            peers,
             config,
             gossip,
             metrics,
@@ -84,6 +109,7 @@
                 actix_rt::time::sleep(TICK).await;
             }
         });
+        crate::witness::spawn(session.clone());
         let transfers = session.clone();
         actix_rt::spawn(async move {
             loop {
@@ -99,6 +125,10 @@
         self.state.holder.borrow().is_in_force(self.state.clock.now())
     }
 
+    pub(crate) fn state(&self) -> &State {
+        &self.state
+    }
+
     /// Reports whether the process takes no new work.
     pub fn is_leaving(&self) -> bool {
         self.state.leaving.get()
@@ -134,9 +164,32 @@
                 log::warn!("{resource} could not be released: {error}");
             }
         }
+        self.end().await;
+    }
+
+    /// Ends the own session in the platform, so that nobody waits for it to expire.
+    async fn end(&self) {
+        self.state.closing.set(true);
+        let (mut record, version) = {
+            let holder = self.state.holder.borrow();
+            let Some(version) = holder.version() else {
+                return;
+            };
+            (holder.record().clone(), version.to_owned())
+        };
+        record.revoked = true;
+        let name = session_name(record.session_id);
+        let value = to_json(&record);
+        let update = self.state.platform.update(ObjectKind::Session, &name, &value, &version);
+        if let Err(error) = update.await {
+            log::warn!("session could not be ended and has to expire: {error}");
+        }
     }
 
     async fn renew(&self) {
+        if self.state.closing.get() {
+            return;
+        }
         let now = self.state.clock.now();
         let command = self.state.holder.borrow_mut().poll(now);
         let Some(command) = command else {
@@ -161,6 +214,9 @@
                 (record, update.await)
             }
         };
+        if result.as_ref().err().is_none_or(Error::is_answer) {
+            self.state.platform_answered_at.set(Some(self.state.clock.now()));
+        }
         let mut holder = self.state.holder.borrow_mut();
         match result {
             Ok(object) => holder.acknowledge(record, object.version),
@@ -169,7 +225,9 @@
                 self.settle().await;
             }
             Err(error) => {
-                holder.fail();
+                let is_unknown = error.is_effect_unknown();
+                let effect = if is_unknown { CallEffect::Unknown } else { CallEffect::None };
+                holder.fail(effect, self.state.clock.now());
                 self.state.metrics.session_events.count(error.reason());
             }
         }
@@ -177,6 +235,9 @@
 
     /// Reads the session back after a conflict: an own write with a lost reply, or a revocation.
     async fn settle(&self) {
+        if self.state.closing.get() {
+            return;
+        }
         let name = session_name(self.state.holder.borrow().record().session_id);
         let read = self.state.platform.get(&name).await;
         let mut holder = self.state.holder.borrow_mut();
@@ -186,7 +247,7 @@
                 _ => holder.end(),
             },
             Err(Error::NotFound) => holder.end(),
-            Err(_) => holder.fail(),
+            Err(_) => holder.fail(CallEffect::Unknown, self.state.clock.now()),
         }
         if holder.is_ended() {
             self.state.metrics.session_events.count("revoked");
@@ -203,6 +264,7 @@
             return;
         }
         self.observe_sessions(now);
+        self.ask_about_silent(now);
         self.revoke_expired(now).await;
         if self.is_in_force() && !self.is_leaving() {
             self.take_resources().await;
@@ -221,6 +283,11 @@
             }
         }
         observer.retain(|id| known.contains(&id));
+        let live: Vec<SessionRecord> = observer.live().cloned().collect();
+        self.state.witness.borrow_mut().retain(|id| !observer.is_revoked(id));
+        let mut holder = self.state.holder.borrow_mut();
+        let witnesses = choose_witnesses(holder.record(), &live);
+        holder.set_fleet(live.len(), witnesses);
         let peers = observer.live().map(|s| s.address).collect();
         self.state.gossip.set_peers(peers);
     }
