Membership tests: an asker ends at its first wrong answer

Cause: a run on a starved machine grew to 0.9 GB, as askers repeated failing requests without pause. The tests are as strict: one wrong answer fails them.

--- a/crates/rail_testfleet/tests/membership.rs
+++ b/crates/rail_testfleet/tests/membership.rs
@@ -35,6 +35,8 @@
             let answer = ask.send(&fleet.caller_url(host)).await;
             if !ask.is_answered_by(&answer) {
                 wrong.push(answer);
+                // A wrong answer fails the test; more of them would tell no more.
+                break;
             }
             assert!(call_service(fleet, host).await, "service answers");
         }
@@ -160,6 +162,7 @@
                     answered.set(answered.get() + 1);
                 } else {
                     wrong.borrow_mut().push((url, answer));
+                    break;
                 }
             }
         })
