Plain services: load reports corrected by own calls, ejection, retried lookups

A call went to the instance with the fewest own calls, dead or not: with one of three instances killed a lookup was answered 503. Each gateway now reads GET /load, corrects it by its own calls since, ejects an instance after three failures in a row and takes it back when a report comes. Idempotent calls are tried on another instance within the retry budget, others only when no byte was sent.

--- a/crates/rail_testfleet/tests/requests.rs
+++ b/crates/rail_testfleet/tests/requests.rs
@@ -188,3 +188,57 @@
     }
     println!("time to quarantine after the answer: {:?}", started.elapsed());
 }
+
+async fn get_feed(fleet: &TestFleet, host: u8) -> u16 {
+    let url = format!("{}/v1/services/feed/lines?stop=7", fleet.caller_url(host));
+    let client = awc::Client::builder().timeout(Duration::from_secs(60)).finish();
+    client.get(url).send().await.map_or(0, |reply| reply.status().as_u16())
+}
+
+#[actix_rt::test]
+async fn lookups_come_through_while_a_third_of_the_services_goes() {
+    for fault in [Fault::Kill, Fault::Freeze] {
+        let mut fleet = TestFleet::start(FleetPlan { services: 3, ..plan(5) });
+        for number in 0..90 {
+            if number == 30 {
+                match fault {
+                    Fault::Kill => fleet.kill("service1"),
+                    Fault::Freeze => fleet.process("service1").freeze(),
+                }
+            }
+            assert_eq!(get_feed(&fleet, number % 3 + 1).await, 200, "{fault:?} call {number}");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn amplification_stays_small_when_a_third_of_the_engines_goes() {
+    let mut plan = plan(5);
+    plan.engine_flags.push("--restart-ms=60000".to_owned());
+    let fleet = TestFleet::start(plan);
+    let asks: Vec<Ask> = (0..2).map(|n| Ask::new(&format!("llama:a{n}@v1"), 10)).collect();
+    let urls: Vec<String> = (1..=3).map(|host| fleet.caller_url(host)).collect();
+    asks[0].send(&urls[0]).await;
+    let engine = busy_engine(&fleet).await;
+    let mut answered = 1;
+    for round in 0..20_usize {
+        let sends = (0..12).map(|n| asks[n % 2].send(&urls[n % 3]));
+        let (answers, ()) = join(join_all(sends), async {
+            pause(30).await;
+            if round == 8 {
+                fleet.set_faults(&engine, json!({"crash": true})).await;
+            }
+        })
+        .await;
+        for (n, answer) in answers.iter().enumerate() {
+            assert!(asks[n % 2].is_answered_by(answer), "round {round}: {answer:?}");
+            answered += 1;
+        }
+    }
+    let mut attempts = 0;
+    for engine in ["engine1", "engine2", "engine3"] {
+        attempts += executions(&fleet, engine).await;
+    }
+    println!("{attempts} attempts for {answered} answers");
+    assert!(attempts * 2 <= answered * 3, "{attempts} attempts for {answered} answers");
+}
--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -113,7 +113,7 @@
             ),
             budget: Rc::default(),
             platform: platform.clone(),
-            services: services::Services::default(),
+            services: services::Services::open(shared.metrics.ejections.clone()),
             settings: shared.settings,
             gossip: shared.gossip,
             peers: shared.peers,
@@ -130,6 +130,8 @@
             gateway.gossip.clone(),
             gateway.peers.clone(),
         ));
+        let loads = gateway.services.clone().follow_loads(gateway.config.clone());
+        actix_rt::spawn(loads);
         actix_rt::spawn(collect::collect_claims(gateway.clone()));
         gateway
     }
--- a/crates/tarragon_gateway/src/metrics.rs
+++ b/crates/tarragon_gateway/src/metrics.rs
@@ -20,6 +20,8 @@
     pub streams: Reasons,
     /// Requests that crash upstreams, by what was decided.
     pub crashes: Reasons,
+    /// Instances of plain services that were ejected, by reason.
+    pub ejections: Reasons,
 }
 
 impl GatewayMetrics {
@@ -32,6 +34,7 @@
             retries: metrics.reasons("gateway_retries", "Attempts at another candidate"),
             streams: metrics.reasons("gateway_streams", "Broken streams, by what came of them"),
             crashes: metrics.reasons("gateway_crashes", "Requests that crash upstreams"),
+            ejections: metrics.reasons("gateway_ejections", "Ejected instances of services"),
             claims: metrics.reasons("gateway_claims", "Arrivals of keyed requests"),
         }
     }
--- a/crates/tarragon_gateway/src/services.rs
+++ b/crates/tarragon_gateway/src/services.rs
@@ -13,38 +13,43 @@
 };
 use awc::{Client, Connector, error::SendRequestError};
 use bytes::Bytes;
-use rail_config::Upstream;
-use rail_request::{Failed, Fingerprint, NotRun, NotRunReason};
+use futures_util::future::join_all;
+use rail_config::{Upstream, UpstreamKind};
+use rail_platform::ConfigFollower;
+use rail_request::{Balance, CallEnd, Failed, Fingerprint, NotRun, NotRunReason, RetryCause};
+use rail_runtime::{MonotonicClock, metrics::Reasons};
 use rail_upstream::is_unsent;
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use serde::Deserialize;
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 /// Time in which a plain service must answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time in which a connection must be open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time in which an instance must answer an idempotent call before another is tried.
+const TRY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Instances that one call tries.
+const MAX_TRIES: usize = 3;
+/// Interval between load reports, and time in which one must come.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
 /// When a caller should come back after a refusal.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Headers that are passed on to the service.
 const PASSED_HEADERS: [&str; 4] = ["content-type", "accept", "idempotency-key", "x-request-id"];
 
-/// Connections to plain services with the calls in progress on each; clones share them.
+/// Connections to plain services with the load of each instance; clones share them.
 #[derive(Clone)]
 pub struct Services {
     http: Client,
-    in_flight: Rc<RefCell<BTreeMap<String, u32>>>,
+    clock: MonotonicClock,
+    balance: Rc<RefCell<Balance>>,
+    ejections: Reasons,
 }
 
 impl std::fmt::Debug for Services {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Services").field("in_flight", &self.in_flight).finish_non_exhaustive()
-    }
-}
-
-impl Default for Services {
-    fn default() -> Self {
-        let connector = Connector::new().limit(0).timeout(CONNECT_TIMEOUT);
-        let http = Client::builder().connector(connector).timeout(CALL_TIMEOUT).finish();
-        Self { http, in_flight: Rc::default() }
+        f.debug_struct("Services").field("balance", &self.balance).finish_non_exhaustive()
     }
 }
 
@@ -53,27 +58,69 @@
 struct InFlight {
     services: Services,
     upstream: String,
+    end: CallEnd,
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        if let Some(count) = self.services.in_flight.borrow_mut().get_mut(&self.upstream) {
-            *count -= 1;
+        let now = self.services.clock.now();
+        if self.services.balance.borrow_mut().finish(&self.upstream, self.end, now) {
+            self.services.ejections.count("calls_failed");
         }
     }
 }
 
 impl Services {
+    /// Prepares connections.
+    pub fn open(ejections: Reasons) -> Self {
+        let connector = Connector::new().limit(0).timeout(CONNECT_TIMEOUT);
+        let http = Client::builder().connector(connector).timeout(CALL_TIMEOUT).finish();
+        Self { http, clock: MonotonicClock::start(), balance: Rc::default(), ejections }
+    }
+
     fn start_call(&self, upstream: &str) -> InFlight {
-        *self.in_flight.borrow_mut().entry(upstream.to_owned()).or_default() += 1;
-        InFlight { services: self.clone(), upstream: upstream.to_owned() }
+        self.balance.borrow_mut().start(upstream);
+        let (services, upstream) = (self.clone(), upstream.to_owned());
+        InFlight { services, upstream, end: CallEnd::Abandoned }
+    }
+
+    /// Reads the load of every instance at a fixed interval, which also probes ejected ones.
+    pub async fn follow_loads(self, config: ConfigFollower) {
+        loop {
+            let fleet = config.current();
+            let services = fleet.upstreams.iter().filter(|(_, u)| u.kind == UpstreamKind::Service);
+            let now = self.clock.now();
+            let due = services.filter(|(name, _)| self.balance.borrow().is_probe_due(name, now));
+            join_all(due.map(|(name, upstream)| self.read_load(name, upstream))).await;
+            actix_rt::time::sleep(REPORT_INTERVAL).await;
+        }
     }
 
-    fn calls_on(&self, upstream: &str) -> u32 {
-        self.in_flight.borrow().get(upstream).copied().unwrap_or(0)
+    async fn read_load(&self, name: &str, upstream: &Upstream) {
+        let in_flight = self.balance.borrow().in_flight(name);
+        let request = self.http.get(format!("http://{}/load", upstream.address));
+        let report = async {
+            let mut reply = request.timeout(REPORT_TIMEOUT).send().await.ok()?;
+            reply.json::<ServiceLoad>().await.ok()
+        };
+        let report = report.await;
+        let mut balance = self.balance.borrow_mut();
+        match report {
+            Some(report) => balance.report(name, report.running, in_flight),
+            None if balance.miss_report(name, self.clock.now()) => {
+                self.ejections.count("no_report");
+            }
+            None => {}
+        }
     }
 }
 
+/// Load as a plain service reports it.
+#[derive(Debug, Deserialize)]
+struct ServiceLoad {
+    running: u32,
+}
+
 /// A call of a plain service, as its caller sent it.
 #[derive(Debug, Clone)]
 struct ServiceCall {
@@ -147,15 +194,52 @@
         Fingerprint::of(parts.iter().map(|part| part.as_bytes()).chain([&*self.body]))
     }
 
-    /// Sends the call to the least loaded instance, once.
+    /// Sends the call to the least loaded instance.
+    ///
+    /// Another instance is tried when none of its bytes was sent, and for an idempotent call
+    /// while the retry budget lasts.
     async fn send(&self, gateway: &Gateway) -> Result<KeptAnswer> {
+        let is_idempotent = self.method.is_idempotent();
+        let mut tried = Vec::new();
+        let mut may_have_run = false;
+        loop {
+            let (name, upstream) = self.pick(gateway, &tried)?;
+            let mut in_flight = gateway.services.start_call(&name);
+            let result = self.send_to(gateway, &upstream).await;
+            in_flight.end = if result.is_ok() { CallEnd::Answered } else { CallEnd::Failed };
+            drop(in_flight);
+            let problem = match result {
+                Ok(answer) => {
+                    gateway.budget.borrow_mut().earn();
+                    return Ok(answer);
+                }
+                Err(problem) => problem,
+            };
+            tried.push(name);
+            may_have_run |= matches!(problem, Problem::Failed(_));
+            let is_left = tried.len() < MAX_TRIES && self.has_other(gateway, &tried);
+            if !is_left || !may_try_again(gateway, &problem, is_idempotent) {
+                let unknown = Problem::Failed(Failed::UnknownOutcome);
+                return Err(if may_have_run { unknown } else { problem });
+            }
+            gateway.metrics.retries.count(&problem.reason());
+        }
+    }
+
+    fn pick(&self, gateway: &Gateway, tried: &[String]) -> Result<(String, Upstream)> {
         let fleet = gateway.config.current();
-        let (name, upstream) = fleet
-            .services_of(&self.service)
-            .min_by_key(|(name, _)| gateway.services.calls_on(name))
+        let names = fleet.services_of(&self.service).map(|(name, _)| name.as_str());
+        let balance = gateway.services.balance.borrow();
+        let name = balance
+            .pick(names.filter(|name| !tried.iter().any(|t| t == name)))
             .ok_or(Problem::UnknownService)?;
-        let _in_flight = gateway.services.start_call(name);
-        self.send_to(gateway, upstream).await
+        let upstream = fleet.upstreams.get(name).ok_or(Problem::UnknownService)?;
+        Ok((name.to_owned(), upstream.clone()))
+    }
+
+    fn has_other(&self, gateway: &Gateway, tried: &[String]) -> bool {
+        let fleet = gateway.config.current();
+        fleet.services_of(&self.service).any(|(name, _)| !tried.contains(name))
     }
 
     async fn send_to(&self, gateway: &Gateway, upstream: &Upstream) -> Result<KeptAnswer> {
@@ -164,6 +248,9 @@
         for (name, value) in &self.headers {
             call = call.insert_header((*name, value.clone()));
         }
+        if self.method.is_idempotent() {
+            call = call.timeout(TRY_TIMEOUT);
+        }
         let sent = call.send_body(self.body.clone()).await;
         let mut reply = sent.map_err(|error| classify(&error))?;
         if reply.status() == StatusCode::SERVICE_UNAVAILABLE {
@@ -181,6 +268,18 @@
     }
 }
 
+/// Reports whether a call that ended so may go to another instance.
+fn may_try_again(gateway: &Gateway, problem: &Problem, is_idempotent: bool) -> bool {
+    match problem {
+        Problem::NotRun(not_run) if not_run.reason == NotRunReason::Unreachable => true,
+        Problem::NotRun(_) => is_idempotent,
+        Problem::Failed(_) => {
+            is_idempotent && gateway.budget.borrow_mut().try_take(RetryCause::LostUpstream)
+        }
+        _ => false,
+    }
+}
+
 fn classify(error: &SendRequestError) -> Problem {
     if is_unsent(error) {
         NotRun { reason: NotRunReason::Unreachable, retry_after: RETRY_AFTER }.into()
