Callers' logs joined with executions under faults in turn

90 service calls (two thirds keyed) and 60 completions on three hosts while replies of the platform are lost, it goes down and slow, one scheduler is killed and one frozen, a service refuses, slows and freezes, and an engine crashes. The test counts repeats, crossed or wrong answers, false not_run and silent losses.

--- a/crates/rail_testfleet/tests/at_most_once.rs
+++ b/crates/rail_testfleet/tests/at_most_once.rs
@@ -243,3 +243,116 @@
     let list: Value = reply.json().await.expect("list is JSON");
     assert_eq!(list["items"], json!([]));
 }
+
+/// What one caller saw of one request.
+#[derive(Debug)]
+struct Logged {
+    body: String,
+    answers: Vec<Answer>,
+}
+
+/// Sends a call until it has its outcome: again only when told that it did not run or is running.
+async fn send_until_settled(urls: &[String], number: usize) -> Logged {
+    let body = format!("alert {number}");
+    // Every third call has no key and is sent once.
+    let key = (!number.is_multiple_of(3)).then(|| format!("k{number}"));
+    let post = Post { key, body: body.clone() };
+    let mut answers = Vec::new();
+    for round in 0..20 {
+        let answer = post.send(&urls[(number + round) % urls.len()]).await;
+        let is_settled = match &answer {
+            Answer::Problem { reason, ran } => ran != "no" && reason != "in_progress",
+            _ => true,
+        };
+        answers.push(answer);
+        if is_settled || post.key.is_none() {
+            break;
+        }
+        pause(500).await;
+    }
+    Logged { body, answers }
+}
+
+async fn faults_in_turn(fleet: &mut TestFleet) {
+    pause(300).await;
+    fleet.set_faults("platform", json!({"lose_write_replies": 3})).await;
+    pause(1200).await;
+    fleet.kill("host1/scheduler");
+    fleet.set_faults("service1", json!({"refuse": true})).await;
+    pause(700).await;
+    fleet.start_process("host1/scheduler");
+    fleet.set_faults("service1", json!({"delay_ms": 300})).await;
+    fleet.set_faults("platform", json!({"down": true})).await;
+    pause(1200).await;
+    fleet.set_faults("platform", json!({"write_delay_ms": 200})).await;
+    fleet.process("host2/scheduler").freeze();
+    fleet.process("service2").freeze();
+    pause(2500).await;
+    fleet.process("service2").thaw();
+    fleet.process("host2/scheduler").thaw();
+    fleet.set_faults("engine1", json!({"crash": true})).await;
+    fleet.set_faults("platform", json!({"lose_write_replies": 2})).await;
+    pause(1500).await;
+    fleet.set_faults("platform", json!({})).await;
+}
+
+#[actix_rt::test]
+async fn callers_logs_joined_with_executions_show_no_fault() {
+    let mut fleet =
+        TestFleet::start(FleetPlan { services: 2, adapters: 2, ..FleetPlan::default() });
+    let urls: Vec<String> = (1..=3).map(|host| fleet.caller_url(host)).collect();
+    let posts = join_all((0..90).map(|number| {
+        let urls = &urls;
+        async move {
+            pause(90 * number as u64).await;
+            send_until_settled(urls, number).await
+        }
+    }));
+    let asks: Vec<Ask> = (0..60).map(|n| Ask::new(&format!("llama:a{}@v1", n % 2), 40)).collect();
+    let completions = join_all(asks.iter().enumerate().map(|(number, ask)| {
+        let url = &urls[number % 3];
+        async move {
+            pause(130 * number as u64).await;
+            if number % 2 == 0 { ask.send(url).await } else { ask.stream(url).await }
+        }
+    }));
+    let ((logs, answers), ()) = join(join(posts, completions), faults_in_turn(&mut fleet)).await;
+
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for service in ["service1", "service2"] {
+        let stats = fleet.stats(service).await;
+        for execution in stats["executions"].as_array().into_iter().flatten() {
+            let body = execution["body"].as_str().unwrap_or_default();
+            *runs.entry(body.to_owned()).or_default() += 1;
+        }
+    }
+    let mut counts = BTreeMap::from([("answered", 0), ("not run", 0), ("unknown", 0)]);
+    for log in &logs {
+        let runs = runs.get(&log.body).copied().unwrap_or(0);
+        assert!(runs <= 1, "repeated: {log:?}");
+        match log.answers.last().expect("each call has an answer") {
+            Answer::Whole { text, .. } => {
+                let body: Value = serde_json::from_str(text).expect("answer is JSON");
+                assert_eq!(body["body"], log.body.as_str(), "crossed: {log:?}");
+                assert_eq!(runs, 1, "{log:?}");
+                *counts.entry("answered").or_default() += 1;
+            }
+            Answer::Problem { ran, .. } if ran == "no" => {
+                assert_eq!(runs, 0, "false not_run: {log:?}");
+                *counts.entry("not run").or_default() += 1;
+            }
+            Answer::Problem { .. } => *counts.entry("unknown").or_default() += 1,
+            lost => panic!("silent loss: {lost:?}"),
+        }
+    }
+    let mut whole = 0;
+    for (ask, answer) in asks.iter().zip(&answers) {
+        match answer {
+            Answer::Whole { .. } => assert!(ask.is_answered_by(answer), "wrong: {answer:?}"),
+            Answer::Problem { .. } => continue,
+            lost => panic!("silent loss: {lost:?}"),
+        }
+        whole += 1;
+    }
+    println!("calls: {counts:?}; completions: {whole} whole of {}", asks.len());
+}
