A lost gateway link no longer cancels a stream that may be read on

A scheduler that was frozen for longer than the link's idle timeout found the link gone when it ran again and cancelled the request at the engine, which cut off the stream that the gateway was reading on. A peer that leaves says so (stream stopped); a lost link does not, and its requests now run to their end. Ruled out: keeping the cancellation behind a grace period, since a long stream outlasts any.

a_stream_that_was_read_on_is_not_cancelled_when_its_scheduler_thaws: failed with unknown_outcome before, passes after.

--- a/crates/rail_peer/src/server.rs
+++ b/crates/rail_peer/src/server.rs
@@ -72,6 +72,12 @@
         // Any result means that nobody reads further replies.
         let _reason = self.writer.get_mut().stopped().await;
     }
+
+    /// Waits until nobody reads further replies; gives whether the peer said so itself, rather
+    /// than being lost.
+    pub async fn closed_by_peer(&mut self) -> bool {
+        matches!(self.writer.get_mut().stopped().await, Ok(Some(_code)))
+    }
 }
 
 impl PeerServer {
--- a/crates/rail_testfleet/tests/requests.rs
+++ b/crates/rail_testfleet/tests/requests.rs
@@ -36,12 +36,14 @@
 enum Fault {
     Kill,
     Freeze,
+    FreezeForAWhile,
 }
 
 /// Streams from a gateway on another host than the owner, which fails after this time.
 async fn fail_owner(fault: Fault, after_ms: u64) {
     let mut fleet = TestFleet::start(plan(20));
-    let ask = Ask::new("llama:a0@v1", 100);
+    let tokens = if fault == Fault::FreezeForAWhile { 300 } else { 100 };
+    let ask = Ask::new("llama:a0@v1", tokens);
     // Loads the adapter and shows which engine is first.
     ask.send(&fleet.caller_url(1)).await;
     let engine = busy_engine(&fleet).await;
@@ -54,6 +56,11 @@
         match fault {
             Fault::Kill => fleet.kill(&scheduler),
             Fault::Freeze => fleet.process(&scheduler).freeze(),
+            Fault::FreezeForAWhile => {
+                fleet.process(&scheduler).freeze();
+                pause(3000).await;
+                fleet.process(&scheduler).thaw();
+            }
         }
     })
     .await;
@@ -74,6 +81,11 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_stream_that_was_read_on_is_not_cancelled_when_its_scheduler_thaws() {
+    fail_owner(Fault::FreezeForAWhile, 500).await;
+}
+
 #[actix_rt::test]
 async fn a_crashed_engine_ends_streams_explicitly_and_whole_answers_come() {
     let fleet = TestFleet::start(plan(20));
@@ -203,7 +215,7 @@
             if number == 30 {
                 match fault {
                     Fault::Kill => fleet.kill("service1"),
-                    Fault::Freeze => fleet.process("service1").freeze(),
+                    _ => fleet.process("service1").freeze(),
                 }
             }
             assert_eq!(get_feed(&fleet, number % 3 + 1).await, 200, "{fault:?} call {number}");
--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -94,18 +94,31 @@
 }
 
 /// Sends the events of a request to its gateway until either side ends.
+///
+/// A gateway that says that nobody waits has its request cancelled. One that is lost may read the
+/// stream on from the engine, so the request runs to its end.
 async fn forward(mut events: mpsc::Receiver<WorkEvent>, mut replies: ReplySender) {
     loop {
         let event = tokio::select! {
             event = events.recv() => event,
-            () = replies.closed() => return,
+            is_left = replies.closed_by_peer() => {
+                return if is_left { drop(events) } else { discard(events).await };
+            }
         };
         let Some(event) = event else {
             replies.finish();
             return;
         };
         if replies.send(&PeerReply::Work(event)).await.is_err() {
-            return;
+            return if replies.closed_by_peer().await {
+                drop(events)
+            } else {
+                discard(events).await
+            };
         }
     }
 }
+
+async fn discard(mut events: mpsc::Receiver<WorkEvent>) {
+    while events.recv().await.is_some() {}
+}
