--- /dev/null
+++ b/crates/rail_testfleet/tests/placement.rs
@@ -0,0 +1,90 @@
+//! Placement with real processes, more adapters than slots and skewed requests.
+
+use rail_testfleet::{Answer, Ask, FleetPlan, TestFleet};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use serde_json::json;
+use std::time::Duration;
+
+const SEED: u64 = 6;
+/// Adapters that are registered; the engines have fewer slots.
+const ADAPTERS: u32 = 40;
+const REQUESTS: usize = 160;
+/// Time between two requests.
+const GAP: Duration = Duration::from_millis(30);
+/// Rate of the store, as the fleet's configuration takes it by default.
+const STORE_FLAGS: [&str; 3] = ["--rate-per-s=2", "--at-once=2", "--load-ms=50"];
+/// Time until an answer is of no use.
+const DEADLINE_MS: u64 = 100_000;
+
+/// Adapters by popularity: each is half as likely as the one before, with a long tail.
+fn skewed(random: &mut SmallRng) -> u32 {
+    if random.random_bool(0.3) {
+        return random.random_range(0..ADAPTERS);
+    }
+    (random.random::<u32>() | 1 << 31).trailing_zeros() % ADAPTERS
+}
+
+fn asks() -> Vec<Ask> {
+    let mut random = SmallRng::seed_from_u64(SEED);
+    let ask = |number: usize| {
+        let mut ask = Ask::new(&format!("llama:a{}@v1", skewed(&mut random)), 8);
+        let urgency = if number.is_multiple_of(3) { "urgent" } else { "deferrable" };
+        ask.fields = json!({"urgency": urgency, "deadline_ms": DEADLINE_MS});
+        ask
+    };
+    (0..REQUESTS).map(ask).collect()
+}
+
+fn plan() -> FleetPlan {
+    FleetPlan {
+        adapters: ADAPTERS,
+        store_flags: STORE_FLAGS.map(str::to_owned).to_vec(),
+        ..FleetPlan::default()
+    }
+}
+
+async fn send_all(fleet: &TestFleet, asks: &[Ask]) -> Vec<Answer> {
+    let urls: Vec<String> = (1..=3).map(|host| fleet.caller_url(host)).collect();
+    let send = |(number, ask): (usize, &Ask)| {
+        let (ask, url) = (ask.clone(), urls[number % urls.len()].clone());
+        async move {
+            actix_rt::time::sleep(GAP * number as u32).await;
+            ask.stream(&url).await
+        }
+    };
+    futures_util::future::join_all(asks.iter().enumerate().map(send)).await
+}
+
+#[actix_rt::test]
+async fn skewed_work_on_few_slots_is_answered_within_the_budget() {
+    let fleet = TestFleet::start(plan());
+    let asks = asks();
+    let answers = send_all(&fleet, &asks).await;
+    for (ask, answer) in asks.iter().zip(&answers) {
+        assert!(ask.is_answered_by(answer), "{}: {answer:?}", ask.model);
+    }
+    let store = fleet.stats("store").await;
+    assert_eq!(fleet.sum_engines("evicted_in_use").await, 0);
+    assert!(fleet.sum_engines("evictions").await > 0, "slots were short");
+    assert_eq!(store["over_rate"], 0, "{store}");
+}
+
+#[actix_rt::test]
+async fn losing_the_owner_of_the_budget_keeps_loads_within_the_stated_bound() {
+    let mut fleet = TestFleet::start(plan());
+    let asks = asks();
+    let sending = send_all(&fleet, &asks[..20]);
+    let first = sending.await;
+    assert!(first.iter().all(|answer| matches!(answer, Answer::Whole { .. })), "{first:?}");
+    let before = fleet.stats("store").await["loads"].as_u64().unwrap_or(0);
+    fleet.kill("host1/scheduler");
+    let started = std::time::Instant::now();
+    // Requests at the lost scheduler may fail; what counts is the store.
+    let _answers = send_all(&fleet, &asks[20..120]).await;
+    let elapsed_s = started.elapsed().as_secs_f64();
+    let loads = fleet.stats("store").await["loads"].as_u64().unwrap_or(0) - before;
+    // Owner and static shares together grant at most twice the rate, and each its burst.
+    let bound = 2.0 * 2.0 * elapsed_s + 2.0 + 3.0;
+    assert!(loads as f64 <= bound, "{loads} loads in {elapsed_s} s");
+    assert_eq!(fleet.sum_engines("evicted_in_use").await, 0);
+}
