Demand halves in 180 s

Cause: with 60 s an adapter asked for once a minute looked worthless, so urgent misses took 92% of the Utility's loads at the sized load.

--- a/crates/rail_place/src/demand.rs
+++ b/crates/rail_place/src/demand.rs
@@ -4,7 +4,7 @@
 use std::{collections::HashMap, time::Duration};
 
 /// Time in which old demand loses half its weight.
-const HALF_LIFE: Duration = Duration::from_secs(60);
+const HALF_LIFE: Duration = Duration::from_secs(180);
 /// Demand below which an adapter is forgotten.
 const FORGET_BELOW: f64 = 0.01;
 /// Adapters that are remembered before the faint ones are forgotten.
