Deferrable work gathers longer and is pressed before its deadline

Change: gathering takes a quarter to three quarters of the time to the deadline by the weights, instead of none to a half; from four fifths on its load has the class of urgent loads, so that it never starves.

--- a/crates/rail_place/src/objective.rs
+++ b/crates/rail_place/src/objective.rs
@@ -2,6 +2,13 @@
 
 use std::{str::FromStr, time::Duration};
 
+/// Share of its time to the deadline that deferrable work gathers when only stalls count.
+const MIN_GATHER_SHARE: f64 = 0.25;
+/// The same when only full batches count.
+const MAX_GATHER_SHARE: f64 = 0.75;
+/// Share of its time to the deadline after which deferrable work may wait for urgent loads no more.
+const PRESS_SHARE: f64 = 0.8;
+
 /// Weights that are neither two non-negative numbers nor of a positive sum.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("expected STALL,BATCH: two weights that are not negative, such as 2,1")]
@@ -37,7 +44,14 @@
     /// Gives the moment from which deferrable work gathers no longer.
     pub fn release_at(&self, arrived_at: Duration, expires_at: Duration) -> Duration {
         let patience = expires_at.saturating_sub(arrived_at);
-        arrived_at + patience.mul_f64(self.batch_share() / 2.0)
+        let share = MIN_GATHER_SHARE + self.batch_share() * (MAX_GATHER_SHARE - MIN_GATHER_SHARE);
+        arrived_at + patience.mul_f64(share)
+    }
+
+    /// Gives the moment from which deferrable work is loaded like urgent work, so that it never starves.
+    pub fn press_at(&self, arrived_at: Duration, expires_at: Duration) -> Duration {
+        let patience = expires_at.saturating_sub(arrived_at);
+        arrived_at + patience.mul_f64(PRESS_SHARE)
     }
 
     /// Gives the batch places that deferrable work leaves to urgent work.
--- a/crates/rail_place/src/planner.rs
+++ b/crates/rail_place/src/planner.rs
@@ -25,7 +25,7 @@
 pub struct LoadWish {
     /// Adapter version to load.
     pub adapter: AdapterKey,
-    /// Whether urgent work waits for it.
+    /// Whether urgent work, or deferrable work close to its deadline, waits for it.
     pub urgent: bool,
     /// Worth of the load; greater goes first.
     pub worth: f64,
@@ -68,6 +68,7 @@
     deferrable: u32,
     arrived_at: Duration,
     release_at: Duration,
+    press_at: Duration,
 }
 
 impl EnginePlanner {
@@ -101,6 +102,7 @@
                 deferrable: 0,
                 arrived_at: item.arrived_at,
                 release_at: Duration::MAX,
+                press_at: Duration::MAX,
             });
             group.arrived_at = group.arrived_at.min(item.arrived_at);
             if item.urgent {
@@ -109,6 +111,8 @@
                 group.deferrable += 1;
                 let release_at = self.shape.objective.release_at(item.arrived_at, item.expires_at);
                 group.release_at = group.release_at.min(release_at);
+                let press_at = self.shape.objective.press_at(item.arrived_at, item.expires_at);
+                group.press_at = group.press_at.min(press_at);
             }
         }
         groups
@@ -166,7 +170,7 @@
             let waiting = waiting.get_or_insert_with(|| counts().collect());
             let admission = self.residency.admit(adapter, waiting, now);
             if matches!(admission, Admission::Load | Admission::Evict(_)) {
-                loads.push(self.wish(adapter, group));
+                loads.push(self.wish(adapter, group, now));
             }
         }
         loads.sort_by(LoadWish::cmp_order);
@@ -174,13 +178,13 @@
     }
 
     /// Baselines load in the order of arrival.
-    fn wish(&self, adapter: &str, group: &Group) -> LoadWish {
+    fn wish(&self, adapter: &str, group: &Group, now: Duration) -> LoadWish {
         let is_planned = self.shape.policy.is_planned();
         let fill = f64::from(group.deferrable) / self.shape.batch as f64;
         let worth = self.shape.objective.load_worth(group.urgent, fill);
         LoadWish {
             adapter: adapter.to_owned(),
-            urgent: is_planned && group.urgent > 0,
+            urgent: is_planned && (group.urgent > 0 || group.press_at <= now),
             worth: if is_planned { worth } else { 0.0 },
             since: group.arrived_at,
         }
