--- a/crates/rail_testfleet/tests/placement.rs
+++ b/crates/rail_testfleet/tests/placement.rs
@@ -1,9 +1,9 @@
 //! Placement with real processes, more adapters than slots and skewed requests.
 
-use rail_testfleet::{Answer, Ask, FleetPlan, TestFleet};
+use rail_testfleet::{Answer, Ask, FleetPlan, TestFleet, process::binary_path};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use serde_json::json;
-use std::time::Duration;
+use serde_json::{Value, json};
+use std::{process::Command, time::Duration};
 
 const SEED: u64 = 6;
 /// Adapters that are registered; the engines have fewer slots.
@@ -88,3 +88,22 @@
     assert!(loads as f64 <= bound, "{loads} loads in {elapsed_s} s");
     assert_eq!(fleet.sum_engines("evicted_in_use").await, 0);
 }
+
+#[actix_rt::test]
+async fn the_load_tool_measures_real_processes() {
+    let fleet = TestFleet::start(plan());
+    let mut tool = Command::new(binary_path("tarragon-load"));
+    tool.args(["run", "--adapters=40", "--seconds=15", "--tokens=8", "--rate=0.5"]);
+    tool.arg("--deferrable-deadline-s=20");
+    tool.args((1..=3).map(|host| format!("--url={}", fleet.caller_url(host))));
+    let output = actix_rt::task::spawn_blocking(move || tool.output()).await;
+    let output = output.expect("task ends").expect("tool starts");
+    let errors = String::from_utf8_lossy(&output.stderr);
+    let report: Value = serde_json::from_slice(&output.stdout).expect("report is JSON");
+    assert_eq!(report["method"], "real_processes", "{errors}");
+    for class in ["urgent", "deferrable"] {
+        assert!(report[class]["answered"].as_u64() > Some(0), "{report}");
+        assert_eq!(report[class]["unanswered"], 0, "{report}");
+    }
+    println!("{report}");
+}
