--- a/crates/rail_runtime/tests/settings_table.rs
+++ b/crates/rail_runtime/tests/settings_table.rs
@@ -28,7 +28,8 @@
         let flag = flag.split_whitespace().next().unwrap_or_default();
         if !COMMANDS.contains(&flag) {
             let variable = format!("TARRAGON_{}", flag.replace('-', "_").to_uppercase());
-            table.push_str(&format!("| `--{flag}` | `{variable}` | {} |\n", meaning.trim()));
+            let row = ["| `--", flag, "` | `", &variable, "` | ", meaning.trim(), " |\n"];
+            table.push_str(&row.concat());
         }
     }
     table
--- /dev/null
+++ b/examples/src/bin/ownership.rs
@@ -0,0 +1,163 @@
+//! Ownership without the daemons: workers share queues, and one of them stops.
+//!
+//! The store stands for any object API with conditional updates.
+
+use rail_lease::{
+    HolderCommand, OwnershipCommand, OwnershipRecord, SessionHolder, SessionObserver,
+    SessionRecord, plan_ownership,
+};
+use std::{collections::BTreeMap, net::SocketAddr, process::ExitCode, time::Duration};
+
+/// Time to live of a session.
+const TTL: Duration = Duration::from_secs(3);
+/// Step of the simulated clock.
+const STEP: Duration = Duration::from_millis(250);
+/// Moment at which worker 1 stops renewing.
+const STOPS_AT: Duration = Duration::from_secs(5);
+/// End of the run.
+const ENDS_AT: Duration = Duration::from_secs(12);
+/// Resources that the workers share.
+const QUEUES: [&str; 4] = ["queue-a", "queue-b", "queue-c", "queue-d"];
+
+/// Records with their versions; an update needs the version that stands.
+#[derive(Debug, Default)]
+struct Store {
+    writes: u64,
+    sessions: BTreeMap<u64, (SessionRecord, String)>,
+    owners: BTreeMap<String, (OwnershipRecord, String)>,
+}
+
+impl Store {
+    fn next_version(&mut self) -> String {
+        self.writes += 1;
+        self.writes.to_string()
+    }
+
+    /// Writes a session if the expected version stands; gives the new version.
+    fn put_session(&mut self, record: SessionRecord, expected: Option<&str>) -> Option<String> {
+        let current = self.sessions.get(&record.session_id).map(|(_, version)| version.as_str());
+        if current != expected {
+            return None;
+        }
+        let version = self.next_version();
+        self.sessions.insert(record.session_id, (record, version.clone()));
+        Some(version)
+    }
+
+    /// Writes an owner if the expected version stands.
+    fn put_owner(&mut self, record: OwnershipRecord, expected: Option<&str>) {
+        let current = self.owners.get(&record.resource).map(|(_, version)| version.as_str());
+        if current == expected {
+            let version = self.next_version();
+            self.owners.insert(record.resource.clone(), (record, version));
+        }
+    }
+}
+
+/// One process that may own queues.
+#[derive(Debug)]
+struct Worker {
+    holder: SessionHolder,
+    observer: SessionObserver,
+}
+
+impl Worker {
+    fn new(number: u64) -> Self {
+        let record = SessionRecord {
+            session_id: number,
+            host: format!("worker-{number}"),
+            zone: "zone-1".to_owned(),
+            address: SocketAddr::from(([127, 0, 0, number as u8], 7402)),
+            ttl_ms: TTL.as_millis() as u64,
+            renewals: 0,
+            leaving: false,
+            revoked: false,
+        };
+        Self { holder: SessionHolder::new(record), observer: SessionObserver::default() }
+    }
+
+    /// Renews the own session, revokes those that stopped, and takes what nobody owns.
+    fn step(&mut self, store: &mut Store, now: Duration) {
+        self.renew(store, now);
+        for (record, version) in store.sessions.values() {
+            self.observer.observe(record.clone(), version.clone(), now);
+        }
+        for (mut record, version) in self.observer.expired(now) {
+            record.revoked = true;
+            store.put_session(record, Some(&version));
+        }
+        if self.holder.is_in_force(now) {
+            self.take_queues(store);
+        }
+    }
+
+    fn renew(&mut self, store: &mut Store, now: Duration) {
+        let written = match self.holder.poll(now) {
+            None => return,
+            Some(HolderCommand::Create(record)) => {
+                store.put_session(record.clone(), None).map(|version| (record, version))
+            }
+            Some(HolderCommand::Renew { record, expected_version }) => {
+                let version = store.put_session(record.clone(), Some(&expected_version));
+                version.map(|version| (record, version))
+            }
+        };
+        match written {
+            Some((record, version)) => self.holder.acknowledge(record, version),
+            // Somebody revoked the session; a real worker starts anew under another id.
+            None => self.holder.end(),
+        }
+    }
+
+    fn take_queues(&self, store: &mut Store) {
+        let live: Vec<SessionRecord> = self.observer.live().cloned().collect();
+        let queues = QUEUES.map(|queue| (queue.to_owned(), "zone-1".to_owned()));
+        let queues = BTreeMap::from(queues);
+        for command in plan_ownership(self.holder.record(), &live, &queues, &store.owners) {
+            match command {
+                OwnershipCommand::Create(record) => store.put_owner(record, None),
+                OwnershipCommand::Take { record, expected_version } => {
+                    store.put_owner(record, Some(&expected_version));
+                }
+            }
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let mut store = Store::default();
+    let mut workers = [1, 2, 3].map(Worker::new);
+    let mut before = BTreeMap::new();
+    let mut now = Duration::ZERO;
+    while now < ENDS_AT {
+        if now == STOPS_AT {
+            before.clone_from(&store.owners);
+            print("before worker 1 stops", &store);
+        }
+        let stopped_workers = usize::from(now >= STOPS_AT);
+        for worker in &mut workers[stopped_workers..] {
+            worker.step(&mut store, now);
+        }
+        now += STEP;
+    }
+    print("after", &store);
+    let all_owned = store.owners.len() == QUEUES.len();
+    let none_left = store.owners.values().all(|(owner, _)| owner.session_id != 1);
+    let fences_grew =
+        before.iter().filter(|(_, (owner, _))| owner.session_id == 1).all(|(queue, (owner, _))| {
+            store.owners.get(queue).is_some_and(|(n, _)| n.fence > owner.fence)
+        });
+    let stopped = !workers[0].holder.is_in_force(now);
+    if all_owned && none_left && fences_grew && stopped {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+fn print(moment: &str, store: &Store) {
+    println!("{moment}:");
+    for (queue, (owner, _version)) in &store.owners {
+        println!("  {queue}: worker {} with fencing number {}", owner.session_id, owner.fence);
+    }
+}
