Gateways find owners in heartbeats while the platform has told them none; example follows rail_lease

Cause: a gateway started in an outage learnt the configuration from peers but no owner. Change: without an owner object the heartbeats of schedulers name the owner; they drop an engine at once when they lose it.

--- a/crates/rail_peer/src/gossip.rs
+++ b/crates/rail_peer/src/gossip.rs
@@ -148,6 +148,14 @@
         known
     }
 
+    /// Finds the address of the scheduler that says it owns an engine.
+    pub fn find_owner(&self, engine: &str, max_age: Duration) -> Option<SocketAddr> {
+        let is_owner = |h: &Heartbeat| h.owned.iter().any(|owned| owned == engine);
+        let members = self.members();
+        let fresh = members.iter().filter(|(_, age)| *age <= max_age).map(|(h, _)| h);
+        fresh.filter(|h| is_owner(h)).find_map(|h| h.address)
+    }
+
     /// Lists known processes with the time since they were heard, this one included.
     pub fn members(&self) -> Vec<(Heartbeat, Duration)> {
         let now = self.clock.now();
--- a/crates/tarragon_gateway/src/route.rs
+++ b/crates/tarragon_gateway/src/route.rs
@@ -9,6 +9,8 @@
 
 /// Candidates that one pass tries.
 const MAX_CANDIDATES: usize = 3;
+/// Age of a heartbeat above which it names no owner any more.
+const MAX_HEARTBEAT_AGE: Duration = Duration::from_secs(3);
 /// When a caller should come back while no owner answers.
 pub const NO_OWNER_RETRY: Duration = Duration::from_secs(1);
 
@@ -42,17 +44,23 @@
         let engines = fleet.engines_of(base).map(|(name, _)| name.as_str());
         let mut owned: Vec<(String, SocketAddr)> = rank_engines(model, engines)
             .into_iter()
-            .filter_map(|engine| {
-                let object = self.owners.find(&format!("owner-{engine}"))?;
-                let record: OwnershipRecord = serde_json::from_str(&object.value).ok()?;
-                (!record.released).then(|| (engine.to_owned(), record.address))
-            })
+            .filter_map(|engine| Some((engine.to_owned(), self.find_owner(engine)?)))
             .collect();
         owned.sort_by_key(|(engine, _)| avoided.contains(engine));
         owned.truncate(MAX_CANDIDATES);
         owned
     }
 
+    /// Finds the address of an engine's owner: from the platform, or while that knows none, from
+    /// the heartbeats of schedulers, which learn at once when they lose an engine.
+    fn find_owner(&self, engine: &str) -> Option<SocketAddr> {
+        let Some(object) = self.owners.find(&format!("owner-{engine}")) else {
+            return self.gossip.find_owner(engine, MAX_HEARTBEAT_AGE);
+        };
+        let record: OwnershipRecord = serde_json::from_str(&object.value).ok()?;
+        (!record.released).then_some(record.address)
+    }
+
     /// Sends an order to an owner.
     ///
     /// # Errors
--- a/examples/src/bin/ownership.rs
+++ b/examples/src/bin/ownership.rs
@@ -3,7 +3,7 @@
 //! The store stands for any object API with conditional updates.
 
 use rail_lease::{
-    HolderCommand, OwnershipCommand, OwnershipRecord, SessionHolder, SessionObserver,
+    HolderCommand, LeaseTimes, OwnershipCommand, OwnershipRecord, SessionHolder, SessionObserver,
     SessionRecord, plan_ownership,
 };
 use std::{collections::BTreeMap, net::SocketAddr, process::ExitCode, time::Duration};
@@ -72,8 +72,11 @@
             renewals: 0,
             leaving: false,
             revoked: false,
+            // Without witnesses a session ends when it can't be renewed within its time to live.
+            witnesses: Vec::new(),
         };
-        Self { holder: SessionHolder::new(record), observer: SessionObserver::default() }
+        let times = LeaseTimes { pause_margin: TTL, max_outage: Duration::ZERO };
+        Self { holder: SessionHolder::new(record, times), observer: SessionObserver::new(times) }
     }
 
     /// Renews the own session, revokes those that stopped, and takes what nobody owns.
@@ -92,6 +95,7 @@
     }
 
     fn renew(&mut self, store: &mut Store, now: Duration) {
+        self.holder.tick(now);
         let written = match self.holder.poll(now) {
             None => return,
             Some(HolderCommand::Create(record)) => {
