--- a/crates/rail_runtime/src/exposition.rs
+++ b/crates/rail_runtime/src/exposition.rs
@@ -21,6 +21,7 @@
             .route("/metrics", web::get().to(render))
     })
     .workers(1)
+    .tcp_nodelay(true)
     .max_connections(MAX_CONNECTIONS)
     .client_request_timeout(HEAD_TIMEOUT)
     .disable_signals()
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -5,7 +5,6 @@
 //! calls of peers.
 
 mod engine;
-mod http;
 mod leaving;
 mod metrics;
 mod serve;
@@ -17,7 +16,9 @@
 use rail_member::{Heartbeat, Role};
 use rail_peer::{Gossip, PeerClient, PeerServer, follow_configuration};
 use rail_platform::{ConfigFollower, HostList, PlatformClient};
-use rail_runtime::{FleetSettings, LiveKeys, Metrics, MonotonicClock, StopSignal, start_logging};
+use rail_runtime::{
+    FleetSettings, LiveKeys, Metrics, MonotonicClock, StopSignal, spawn_exposition, start_logging,
+};
 use std::net::SocketAddr;
 
 #[derive(Debug, thiserror::Error)]
@@ -87,7 +88,7 @@
         counters.clone(),
     );
     PermitBroker::spawn(clock, client, session.clone(), config.clone(), counters.clone());
-    http::spawn(SocketAddr::new(settings.ip, settings.metrics_port), registry)?;
+    spawn_exposition(SocketAddr::new(settings.ip, settings.metrics_port), registry)?;
     leaving::spawn(session.clone(), config.clone());
     serve::spawn(incoming, session.clone(), gossip.clone(), config, counters);
     log::info!("scheduler of {} listens on {address}", settings.host);
