Gossip: all heartbeats only from two peers an interval, in turn

Cause: each exchange returned every heartbeat, so bytes grew with the square of the fleet. Test changed: a_gateway_without_configuration_calls_no_name_unknown got no_owner, because a gateway now learns the configuration from peers in an outage. It stops the schedulers too, and expects the same refusal as before.

--- a/crates/rail_peer/src/gossip.rs
+++ b/crates/rail_peer/src/gossip.rs
@@ -16,6 +16,8 @@
 
 /// Heartbeats older than this are not passed on.
 const MAX_RELAYED_AGE: Duration = Duration::from_secs(10);
+/// Peers that are asked for all heartbeats that they know at each interval, in turn.
+const RELAYS: usize = 2;
 /// Time in which a peer must reply.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -52,9 +54,14 @@
         };
         let task = gossip.clone();
         tokio::spawn(async move {
-            loop {
-                for peer in task.peers() {
-                    tokio::spawn(exchange(task.clone(), client.clone(), peer));
+            for round in 0_usize.. {
+                let peers = task.peers();
+                let first = round.wrapping_mul(RELAYS);
+                let relays: BTreeSet<usize> =
+                    (first..first.wrapping_add(RELAYS)).map(|n| n % peers.len().max(1)).collect();
+                for (number, peer) in peers.into_iter().enumerate() {
+                    let is_relay = relays.contains(&number);
+                    tokio::spawn(exchange(task.clone(), client.clone(), peer, is_relay));
                 }
                 // A changed leaving mark goes out at once.
                 let _changed = tokio::time::timeout(interval, task.changed.notified()).await;
@@ -148,6 +155,12 @@
         known
     }
 
+    /// Takes in the heartbeat of a peer and gives the own one.
+    pub fn take_in_one(&self, heartbeat: Heartbeat) -> Vec<Heartbeat> {
+        lock(&self.members).observe(heartbeat, self.clock.now());
+        vec![self.next_own()]
+    }
+
     /// Lists known processes with the time since they were heard, this one included.
     pub fn members(&self) -> Vec<(Heartbeat, Duration)> {
         let now = self.clock.now();
@@ -191,9 +204,11 @@
     }
 }
 
-async fn exchange(gossip: Gossip, client: PeerClient, peer: SocketAddr) {
+async fn exchange(gossip: Gossip, client: PeerClient, peer: SocketAddr, is_relay: bool) {
     let asked_at = gossip.clock.now();
-    let request = PeerRequest::Heartbeats(vec![gossip.next_own()]);
+    let own = gossip.next_own();
+    let request =
+        if is_relay { PeerRequest::Heartbeats(vec![own]) } else { PeerRequest::OwnHeartbeat(own) };
     let Ok(mut replies) = client.call(peer, &request).await else {
         return;
     };
--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -11,6 +11,8 @@
     Heartbeats(Vec<Heartbeat>),
     /// Run a request on an engine that the receiver owns.
     Work(WorkOrder),
+    /// Exchange only the heartbeats of the two processes.
+    OwnHeartbeat(Heartbeat),
     /// Send the configuration in force if it is greater.
     Configuration {
         /// Generation in force at the sender.
--- a/crates/rail_testfleet/tests/whole_path.rs
+++ b/crates/rail_testfleet/tests/whole_path.rs
@@ -82,6 +82,10 @@
 async fn a_gateway_without_configuration_calls_no_name_unknown() {
     let mut fleet = TestFleet::start(FleetPlan::default());
     fleet.set_faults("platform", json!({"down": true})).await;
+    // Schedulers would pass the configuration on.
+    for host in 1..=3 {
+        fleet.kill(&format!("host{host}/scheduler"));
+    }
     fleet.kill("host1/gateway");
     fleet.start_process("host1/gateway");
     let ask = Ask::new("llama:a0@v1", 1);
--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -6,6 +6,7 @@
     session::Session,
 };
 use rail_config::ModelName;
+use rail_member::Heartbeat;
 use rail_peer::{Gossip, Incoming, PeerReply, PeerRequest, ReplySender, send_configuration};
 use rail_platform::ConfigFollower;
 use rail_request::{NotRun, NotRunReason, WorkEvent, WorkOrder};
@@ -26,15 +27,13 @@
     metrics: SchedulerMetrics,
 ) {
     actix_rt::spawn(async move {
-        while let Some(Incoming { request, mut replies }) = incoming.recv().await {
+        while let Some(Incoming { request, replies }) = incoming.recv().await {
             match request {
                 PeerRequest::Heartbeats(heartbeats) => {
-                    let known = gossip.take_in(heartbeats);
-                    actix_rt::spawn(async move {
-                        if replies.send(&PeerReply::Heartbeats(known)).await.is_ok() {
-                            replies.finish();
-                        }
-                    });
+                    actix_rt::spawn(reply_heartbeats(gossip.take_in(heartbeats), replies));
+                }
+                PeerRequest::OwnHeartbeat(heartbeat) => {
+                    actix_rt::spawn(reply_heartbeats(gossip.take_in_one(heartbeat), replies));
                 }
                 PeerRequest::LoadPermit(request) => {
                     if let Some(broker) = PermitBroker::current() {
@@ -58,6 +57,12 @@
     });
 }
 
+async fn reply_heartbeats(known: Vec<Heartbeat>, mut replies: ReplySender) {
+    if replies.send(&PeerReply::Heartbeats(known)).await.is_ok() {
+        replies.finish();
+    }
+}
+
 /// Gives an order to its engine, or refuses it as not run.
 fn submit(
     order: WorkOrder,
