--- a/crates/rail_peer/src/client.rs
+++ b/crates/rail_peer/src/client.rs
@@ -74,12 +74,12 @@
         let counter = metrics.counter("peer_bytes", "Bytes on links to peers, both directions");
         let links = Arc::clone(&self.links);
         tokio::spawn(async move {
-            let mut counted = HashMap::new();
+            let mut seen = HashMap::new();
             loop {
                 for link in links.lock().await.values() {
                     let stats = link.stats();
                     let bytes = stats.udp_tx.bytes + stats.udp_rx.bytes;
-                    let before = counted.insert(link.stable_id(), bytes).unwrap_or(0);
+                    let before = seen.insert(link.stable_id(), bytes).unwrap_or(0);
                     counter.inc_by(bytes.saturating_sub(before));
                 }
                 tokio::time::sleep(COUNT_INTERVAL).await;
--- a/crates/rail_testfleet/tests/configuration.rs
+++ b/crates/rail_testfleet/tests/configuration.rs
@@ -158,6 +158,59 @@
     fleet.wait_for_generation(1..=3, next, IN_FORCE_LIMIT).await;
 }
 
+#[actix_rt::test]
+async fn a_change_spreads_by_peers_when_the_platform_fails_after_acceptance() {
+    let fleet = TestFleet::start(plan());
+    for (number, fault) in [json!({"down": true}), json!({"delay_ms": 3000})].iter().enumerate() {
+        // One host has not read the change yet when the platform fails.
+        fleet.set_faults("platform", json!({"cut_from": [fleet.host_ip(3).to_string()]})).await;
+        let generation = change(&fleet, 1, &format!("spread{number}"));
+        fleet.set_faults("platform", fault.clone()).await;
+        fleet.wait_for_generation(1..=3, generation, IN_FORCE_LIMIT).await;
+        fleet.set_faults("platform", json!({})).await;
+        actix_rt::time::sleep(Duration::from_secs(4)).await;
+    }
+}
+
+#[actix_rt::test]
+async fn an_admin_killed_at_acceptance_leaves_the_change_whole_or_undone() {
+    let mut fleet = TestFleet::start(plan());
+    let mut seen = change(&fleet, 1, "before");
+    for (round, kill_after_ms) in [50, 250, 450, 650].into_iter().enumerate() {
+        fleet.set_faults("platform", json!({"write_delay_ms": 200})).await;
+        let name = format!("k{round}");
+        let admin = fleet.take("host1/admin");
+        let output = std::thread::scope(|scope| {
+            let fleet = &fleet;
+            let name = &name;
+            let operator =
+                scope.spawn(move || fleet.ctl(1, &["adapter", "--base", "llama", name, "v1"]));
+            std::thread::sleep(Duration::from_millis(kill_after_ms));
+            drop(admin);
+            operator.join().expect("ran")
+        });
+        fleet.set_faults("platform", json!({})).await;
+        actix_rt::time::sleep(Duration::from_millis(500)).await;
+        let expect = seen.to_string();
+        let args = ["adapter", "--base", "llama", &name, "v1", "--expect", &expect];
+        let again = fleet.ctl(2, &args);
+        if output.status.success() || !again.status.success() {
+            assert_eq!(again.status.code(), Some(EXIT_CONFLICT), "{again:?}");
+        }
+        seen += 1;
+        fleet.wait_for_generation(1..=3, seen, IN_FORCE_LIMIT).await;
+        let list = fleet.ctl(2, &["list"]);
+        let text = String::from_utf8_lossy(&list.stdout).into_owned();
+        assert!(text.contains(&format!("generation {seen}\n")), "{text}");
+        assert!(text.contains(&format!("adapter llama:{name} v1")), "{text}");
+        fleet.start_process("host1/admin");
+        let started = Instant::now();
+        while !fleet.ctl(1, &["list"]).status.success() {
+            assert!(started.elapsed() < IN_FORCE_LIMIT, "admin is up again");
+        }
+    }
+}
+
 #[actix_rt::test]
 async fn a_stale_peer_reverts_nothing() {
     let mut fleet = TestFleet::start(plan());
