An engine meets its new fencing number before any other order; process tests

Cause: a new owner's first order was a real one, so an engine that checks kept taking the old owner's orders until then; nothing tested ownership with processes. Ruled out: starting the engine's actor first and fencing beside it.

--- /dev/null
+++ b/crates/rail_testfleet/tests/ownership.rs
@@ -0,0 +1,235 @@
+//! Ownership of engines through faults, with real processes.
+
+use futures_util::future::join_all;
+use rail_testfleet::{Answer, Ask, FleetPlan, TestFleet};
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// Session time to live of the test fleets.
+const TTL: Duration = Duration::from_secs(2);
+/// Longest time without an owner: a time to live on each side, a confirmation that still counts
+/// for one more, and the settling of lost replies.
+const OWNER_LIMIT: Duration = Duration::from_secs(10);
+
+fn host_of(fleet: &TestFleet, engine: &str) -> u8 {
+    let owners = fleet.owners();
+    let host = owners.get(engine).expect("engine has an owner");
+    host.trim_start_matches("host").parse().expect("hosts are numbered")
+}
+
+fn other_host(host: u8) -> u8 {
+    host % 3 + 1
+}
+
+/// Waits until an adapter of every engine is answered through this host.
+async fn time_to_answer(fleet: &TestFleet, host: u8) -> Duration {
+    let started = Instant::now();
+    loop {
+        let asks: Vec<Ask> = (0..4).map(|a| Ask::new(&format!("llama:a{a}@v1"), 2)).collect();
+        let url = fleet.caller_url(host);
+        let answers = join_all(asks.iter().map(|ask| ask.send(&url))).await;
+        if asks.iter().zip(&answers).all(|(ask, answer)| ask.is_answered_by(answer)) {
+            return started.elapsed();
+        }
+        assert!(started.elapsed() < OWNER_LIMIT, "no answers through host{host}: {answers:?}");
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Waits until none of the engines is owned by this host and each has an owner.
+async fn time_to_takeover(fleet: &TestFleet, from: u8) -> Duration {
+    let started = Instant::now();
+    let lost = format!("host{from}");
+    loop {
+        let reader = other_host(from);
+        let output = fleet.ctl(reader, &["status", "--json"]);
+        let status: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+        let processes = status["processes"].as_array().cloned().unwrap_or_default();
+        let alive = processes.iter().filter(|p| p["host"] != lost.as_str());
+        let owned: usize = alive.filter_map(|p| p["owned_engines"].as_array().map(Vec::len)).sum();
+        if owned >= 3 {
+            return started.elapsed();
+        }
+        assert!(started.elapsed() < OWNER_LIMIT, "engines of host{from} are taken over: {status}");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Asserts that answers are whole or `not run`, and gives the number of whole ones.
+async fn count_whole(fleet: &TestFleet, hosts: &[u8], time: Duration) -> usize {
+    let started = Instant::now();
+    let askers = hosts.iter().map(|host| async move {
+        let mut whole = 0;
+        while started.elapsed() < time {
+            let ask = Ask::new(&format!("llama:a{}@v1", whole % 4), 3);
+            match ask.send(&fleet.caller_url(*host)).await {
+                Answer::Whole { model, text } => {
+                    assert_eq!((model, text), (ask.model.clone(), ask.expected_text()));
+                    whole += 1;
+                }
+                Answer::Problem { .. } => {}
+                answer => panic!("silent loss: {answer:?}"),
+            }
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+        whole
+    });
+    join_all(askers).await.into_iter().sum()
+}
+
+async fn assert_nothing_evicted_in_use(fleet: &TestFleet) {
+    assert_eq!(fleet.sum_engines("evicted_in_use").await, 0);
+}
+
+fn plan(checks_fencing: bool) -> FleetPlan {
+    FleetPlan { checks_fencing, ..FleetPlan::default() }
+}
+
+async fn kill_and_take_over(checks_fencing: bool) {
+    let mut fleet = TestFleet::start(plan(checks_fencing));
+    let owner = host_of(&fleet, "engine1");
+    fleet.kill(&format!("host{owner}/scheduler"));
+    let takeover = time_to_takeover(&fleet, owner).await;
+    time_to_answer(&fleet, other_host(owner)).await;
+    println!("killed, checks_fencing {checks_fencing}: taken over after {takeover:.2?}");
+    assert_nothing_evicted_in_use(&fleet).await;
+}
+
+async fn freeze_and_thaw(checks_fencing: bool) {
+    let mut fleet = TestFleet::start(plan(checks_fencing));
+    let owner = host_of(&fleet, "engine1");
+    let name = format!("host{owner}/scheduler");
+    fleet.process(&name).freeze();
+    let takeover = time_to_takeover(&fleet, owner).await;
+    println!("frozen, checks_fencing {checks_fencing}: taken over after {takeover:.2?}");
+    fleet.process(&name).thaw();
+    let others = [other_host(owner), other_host(other_host(owner))];
+    assert!(count_whole(&fleet, &others, TTL).await > 0, "answers after the thaw");
+    assert_nothing_evicted_in_use(&fleet).await;
+    assert_eq!(fleet.sum_engines("stale_orders_accepted").await, 0);
+    assert!(fleet.process(&name).has_ended(), "a revoked process ends");
+}
+
+#[actix_rt::test]
+async fn killed_owner_is_replaced() {
+    kill_and_take_over(true).await;
+}
+
+#[actix_rt::test]
+async fn killed_owner_is_replaced_at_engines_that_check_nothing() {
+    kill_and_take_over(false).await;
+}
+
+#[actix_rt::test]
+async fn owner_frozen_past_its_ttl_gives_no_order() {
+    freeze_and_thaw(true).await;
+}
+
+#[actix_rt::test]
+async fn owner_frozen_past_its_ttl_gives_no_order_to_engines_that_check_nothing() {
+    freeze_and_thaw(false).await;
+}
+
+#[actix_rt::test]
+async fn planned_stop_hands_over() {
+    let mut fleet = TestFleet::start(plan(true));
+    let owner = host_of(&fleet, "engine1");
+    let process = fleet.take(&format!("host{owner}/scheduler"));
+    process.terminate();
+    let takeover = time_to_takeover(&fleet, owner).await;
+    println!("planned stop: taken over after {takeover:.2?}");
+    assert!(process.stop(OWNER_LIMIT).success(), "ends with success");
+    time_to_answer(&fleet, other_host(owner)).await;
+    assert_nothing_evicted_in_use(&fleet).await;
+}
+
+#[actix_rt::test]
+async fn owners_keep_their_engines_while_the_platform_is_down_for_all() {
+    let fleet = TestFleet::start(plan(true));
+    let before = fleet.owners();
+    time_to_answer(&fleet, 1).await;
+    fleet.set_faults("platform", json!({"down": true})).await;
+    actix_rt::time::sleep(2 * TTL).await;
+    let whole = count_whole(&fleet, &[1, 2, 3], TTL).await;
+    assert!(whole > 0, "loaded adapters are served in the outage");
+    let mut states = Vec::new();
+    for host in 1..=3 {
+        let log = fleet.log(&format!("host{host}/scheduler"));
+        states.push(log.lines().rfind(|l| l.contains("session changed")).unwrap_or("").to_owned());
+    }
+    assert!(states.iter().all(|line| line.ends_with("to Corroborated")), "{states:?}");
+    fleet.set_faults("platform", json!({})).await;
+    time_to_answer(&fleet, 1).await;
+    assert_eq!(fleet.owners(), before, "nobody lost an engine");
+    assert_nothing_evicted_in_use(&fleet).await;
+}
+
+#[actix_rt::test]
+async fn owner_cut_from_the_platform_is_replaced() {
+    let fleet = TestFleet::start(plan(true));
+    let owner = host_of(&fleet, "engine1");
+    fleet.set_faults("platform", json!({"cut_from": [fleet.host_ip(owner)]})).await;
+    let takeover = time_to_takeover(&fleet, owner).await;
+    println!("cut from the platform: taken over after {takeover:.2?}");
+    fleet.set_faults("platform", json!({})).await;
+    time_to_answer(&fleet, other_host(owner)).await;
+    assert_nothing_evicted_in_use(&fleet).await;
+}
+
+#[actix_rt::test]
+async fn owner_killed_in_an_outage_is_replaced_after_it() {
+    let mut fleet = TestFleet::start(plan(true));
+    let owner = host_of(&fleet, "engine1");
+    fleet.set_faults("platform", json!({"down": true})).await;
+    actix_rt::time::sleep(TTL + TTL / 2).await;
+    fleet.kill(&format!("host{owner}/scheduler"));
+    actix_rt::time::sleep(TTL).await;
+    fleet.set_faults("platform", json!({})).await;
+    let takeover = time_to_takeover(&fleet, owner).await;
+    println!("killed in an outage: taken over {takeover:.2?} after its end");
+    time_to_answer(&fleet, other_host(owner)).await;
+    assert_nothing_evicted_in_use(&fleet).await;
+}
+
+#[actix_rt::test]
+async fn all_owners_replaced_in_an_outage_come_back_after_it() {
+    let mut fleet = TestFleet::start(plan(true));
+    fleet.set_faults("platform", json!({"down": true})).await;
+    for host in 1..=3 {
+        let name = format!("host{host}/scheduler");
+        fleet.kill(&name);
+        fleet.start_process(&name);
+    }
+    actix_rt::time::sleep(TTL).await;
+    fleet.set_faults("platform", json!({})).await;
+    let ready = time_to_answer(&fleet, 1).await;
+    println!("all replaced in an outage: answers {ready:.2?} after its end");
+    assert_nothing_evicted_in_use(&fleet).await;
+}
+
+#[actix_rt::test]
+async fn lost_replies_and_slow_writes_cost_no_ownership() {
+    let fleet = TestFleet::start(plan(true));
+    let before = fleet.owners();
+    fleet.set_faults("platform", json!({"lose_write_replies": 3})).await;
+    assert!(count_whole(&fleet, &[1, 2, 3], 2 * TTL).await > 0, "answers with lost replies");
+    fleet.set_faults("platform", json!({"write_delay_ms": 300})).await;
+    assert!(count_whole(&fleet, &[1, 2, 3], 2 * TTL).await > 0, "answers with slow writes");
+    fleet.set_faults("platform", json!({})).await;
+    time_to_answer(&fleet, 1).await;
+    assert_eq!(fleet.owners(), before, "nobody lost an engine");
+    assert_nothing_evicted_in_use(&fleet).await;
+}
+
+#[actix_rt::test]
+async fn takeover_with_lost_replies_and_slow_writes_comes_to_an_end() {
+    let mut fleet = TestFleet::start(plan(true));
+    let owner = host_of(&fleet, "engine1");
+    fleet.kill(&format!("host{owner}/scheduler"));
+    let faults = json!({"lose_write_replies": 2, "write_delay_ms": 200});
+    fleet.set_faults("platform", faults).await;
+    let takeover = time_to_takeover(&fleet, owner).await;
+    println!("killed, lost replies, slow writes: taken over after {takeover:.2?}");
+    time_to_answer(&fleet, other_host(owner)).await;
+    assert_nothing_evicted_in_use(&fleet).await;
+}
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -1,13 +1,15 @@
 //! Owns engines: admission, residency and dispatch.
 //!
 //! One process runs on each entry host. [`session`] keeps the session alive
-//! and takes engines, [`witness`] asks peers while the platform is away, [`engine`] runs one owned engine, [`serve`] answers the
+//! and takes engines, [`ownership`] fences them, [`witness`] asks peers while
+//! the platform is away, [`engine`] runs one owned engine, [`serve`] answers the
 //! calls of peers.
 
 mod engine;
 mod http;
 mod leaving;
 mod metrics;
+mod ownership;
 mod serve;
 mod session;
 mod witness;
--- a/crates/tarragon_scheduler/src/session.rs
+++ b/crates/tarragon_scheduler/src/session.rs
@@ -1,10 +1,11 @@
 //! Keeps the session alive and takes engines.
 
 use crate::{
-    engine::{Drain, EngineActor, Stop, permit::LOAD_BUDGET},
+    engine::{Drain, EngineActor, permit::LOAD_BUDGET},
     metrics::SchedulerMetrics,
+    ownership::Owned,
 };
-use actix::{Actor, Addr};
+use actix::Addr;
 use rail_config::UpstreamKind;
 use rail_lease::{
     CallEffect, HolderCommand, LeaseTimes, OwnershipCommand, OwnershipRecord, ResourceId,
@@ -53,24 +54,17 @@
     pub(crate) asked: RefCell<BTreeSet<Asked>>,
     pub(crate) platform_answered_at: Cell<Option<Duration>>,
     closing: Cell<bool>,
-    owned: RefCell<BTreeMap<ResourceId, Owned>>,
+    pub(crate) owned: RefCell<BTreeMap<ResourceId, Owned>>,
     leaving: Cell<bool>,
     platform: PlatformClient,
     pub(crate) peers: PeerClient,
-    config: ConfigFollower,
+    pub(crate) config: ConfigFollower,
     pub(crate) sessions: WatchCache,
-    owners: WatchCache,
-    gossip: Gossip,
+    pub(crate) owners: WatchCache,
+    pub(crate) gossip: Gossip,
     pub(crate) metrics: SchedulerMetrics,
 }
 
-#[derive(Debug)]
-struct Owned {
-    record: OwnershipRecord,
-    version: String,
-    engine: Addr<EngineActor>,
-}
-
 impl Session {
     /// Starts the session on the current actix thread.
     pub fn spawn(
@@ -139,15 +133,14 @@
         if !self.is_in_force() {
             return None;
         }
-        self.state.owned.borrow().get(engine).map(|owned| owned.engine.clone())
+        self.state.owned.borrow().get(engine).and_then(|owned| owned.engine.clone())
     }
 
     /// Finishes all work, gives the engines back and ends the session.
     pub async fn leave(&self) {
         self.state.leaving.set(true);
         self.state.holder.borrow_mut().leave();
-        let engines: Vec<_> =
-            self.state.owned.borrow().values().map(|owned| owned.engine.clone()).collect();
+        let engines = self.begin_handover();
         for engine in engines {
             // An engine that is gone has nothing to finish.
             let _drained = engine.send(Drain).await;
@@ -340,60 +333,6 @@
         }
     }
 
-    fn stored_owners(&self) -> BTreeMap<ResourceId, (OwnershipRecord, String)> {
-        let objects = self.state.owners.objects().into_iter();
-        objects
-            .filter_map(|object| {
-                let record: OwnershipRecord = serde_json::from_str(&object.value).ok()?;
-                Some((record.resource.clone(), (record, object.version)))
-            })
-            .collect()
-    }
-
-    /// Starts engines that were taken and drops those that were lost.
-    fn follow_owners(&self) {
-        let me = self.state.holder.borrow().record().session_id;
-        let stored = self.stored_owners();
-        let fleet = self.state.config.current();
-        let mut owned = self.state.owned.borrow_mut();
-        owned.retain(|resource, entry| {
-            let is_mine = stored.get(resource).is_some_and(|(record, _)| {
-                record.session_id == me && record.fence == entry.record.fence && !record.released
-            });
-            if !is_mine {
-                entry.engine.do_send(Stop);
-            }
-            is_mine
-        });
-        for (resource, (record, version)) in stored {
-            if record.session_id != me || record.released || self.is_leaving() {
-                continue;
-            }
-            if let Some(upstream) = fleet.upstreams.get(&resource) {
-                owned.entry(resource).or_insert_with(|| Owned {
-                    engine: EngineActor::new(
-                        upstream,
-                        record.fence,
-                        self.clone(),
-                        self.state.config.clone(),
-                        self.state.clock,
-                        self.state.metrics.clone(),
-                    )
-                    .start(),
-                    record,
-                    version,
-                });
-            }
-        }
-        self.state.metrics.owned_engines.set(owned.len() as i64);
-        let names: Vec<String> = owned.keys().cloned().collect();
-        let generation = fleet.generation;
-        self.state.gossip.update_own(|own| {
-            own.owned = names;
-            own.generation = generation;
-        });
-    }
-
     /// Gives the stored owner of a resource.
     pub fn resource_owner(&self, resource: &str) -> Option<OwnershipRecord> {
         let object = self.state.owners.find(&owner_name(resource))?;
@@ -416,7 +355,7 @@
     format!("session-{session_id:016x}")
 }
 
-fn owner_name(resource: &str) -> String {
+pub(crate) fn owner_name(resource: &str) -> String {
     format!("owner-{resource}")
 }
 
