--- a/crates/rail_testfleet/tests/at_most_once.rs
+++ b/crates/rail_testfleet/tests/at_most_once.rs
@@ -196,6 +196,50 @@
     }
 }
 
+#[actix_rt::test]
+async fn a_gateway_that_freezes_at_any_step_never_makes_a_key_run_twice() {
+    for after_ms in [100, 500, 1450] {
+        let mut fleet = TestFleet::start(plan(1));
+        fleet.set_faults("service1", json!({"delay_ms": 1000})).await;
+        fleet.set_faults("platform", json!({"write_delay_ms": 300})).await;
+        let post = Post::keyed("k1", "x");
+        let (own, other) = (fleet.caller_url(1), fleet.caller_url(2));
+        let (first, later) = join(post.send(&own), async {
+            pause(after_ms).await;
+            fleet.process("host1/gateway").freeze();
+            pause(4500).await;
+            let later = post.send(&other).await;
+            fleet.process("host1/gateway").thaw();
+            later
+        })
+        .await;
+        let last = post.send(&other).await;
+        let runs = runs_of(&fleet).await;
+        assert!(runs <= 1, "{after_ms}: {runs} runs, {first:?}, {later:?}, {last:?}");
+        if first == refusal("platform_unavailable", "no") {
+            assert!(runs == 0 || matches!(last, Answer::Whole { .. }), "{after_ms}: {last:?}");
+        }
+        if matches!(first, Answer::Whole { .. }) {
+            assert_eq!(runs, 1, "{after_ms}");
+            assert_eq!(last, first, "{after_ms}");
+        }
+        println!("frozen after {after_ms} ms: {first:?}, {later:?}, {last:?}, {runs} runs");
+    }
+}
+
+#[actix_rt::test]
+async fn a_host_that_is_cut_from_the_platform_refuses_and_others_run() {
+    let fleet = TestFleet::start(plan(1));
+    let cut = fleet.host_ip(1).to_string();
+    fleet.set_faults("platform", json!({"cut_from": [cut]})).await;
+    let post = Post::keyed("k1", "x");
+    let refused = post.send(&fleet.caller_url(1)).await;
+    assert_eq!(refused, refusal("platform_unavailable", "no"));
+    let answer = post.send(&fleet.caller_url(2)).await;
+    assert!(matches!(answer, Answer::Whole { .. }), "{answer:?}");
+    assert_eq!(runs_of(&fleet).await, 1);
+}
+
 #[actix_rt::test]
 async fn a_service_that_dies_at_any_step_never_makes_a_key_run_twice() {
     for after_ms in [100, 700, 1200] {
--- a/crates/tarragon_gateway/src/claims.rs
+++ b/crates/tarragon_gateway/src/claims.rs
@@ -17,6 +17,8 @@
 
 /// Longest time that making a claim may take.
 const CLAIM_LIMIT: Duration = Duration::from_secs(3);
+/// Longest time between the arrival of a request and its run.
+const RUN_LIMIT: Duration = Duration::from_secs(10);
 /// Time after its deadline after which running work is given up.
 const WORK_MARGIN: Duration = Duration::from_secs(1);
 /// Longest time that an answer waits for its outcome to be stored.
@@ -158,7 +160,14 @@
         mut self,
         work: impl Future<Output = Result<KeptAnswer>>,
     ) -> Result<KeptAnswer> {
+        let arrived_at = Instant::now();
         self.make_claim().await?;
+        if arrived_at.elapsed() > RUN_LIMIT {
+            // A process that was paused does not know whether its claim was collected since.
+            let denied = self.deny();
+            actix_rt::spawn(self.store(ClaimEvent::NotRun));
+            return Err(denied);
+        }
         self.count("claimed");
         let limit = Duration::from_millis(self.claim.record().deadline_ms) + WORK_MARGIN;
         let result = tokio::time::timeout(limit, work)
--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -109,24 +109,22 @@
     loop {
         let event = tokio::select! {
             event = events.recv() => event,
-            is_left = replies.closed_by_peer() => {
-                return if is_left { drop(events) } else { discard(events).await };
-            }
+            is_left = replies.closed_by_peer() => return end(events, is_left).await,
         };
         let Some(event) = event else {
             replies.finish();
             return;
         };
         if replies.send(&PeerReply::Work(event)).await.is_err() {
-            return if replies.closed_by_peer().await {
-                drop(events)
-            } else {
-                discard(events).await
-            };
+            let is_left = replies.closed_by_peer().await;
+            return end(events, is_left).await;
         }
     }
 }
 
-async fn discard(mut events: mpsc::Receiver<WorkEvent>) {
-    while events.recv().await.is_some() {}
+/// Cancels a request that nobody waits for, or reads its events to the end.
+async fn end(mut events: mpsc::Receiver<WorkEvent>, is_left: bool) {
+    if !is_left {
+        while events.recv().await.is_some() {}
+    }
 }
