--- a/crates/rail_place/src/planner.rs
+++ b/crates/rail_place/src/planner.rs
@@ -139,7 +139,8 @@
         let resident = groups.iter().filter(|(adapter, _)| self.residency.is_resident(adapter));
         let ready: BTreeMap<&str, &Group> = resident.map(|(a, group)| (*a, group)).collect();
         let gathered: usize = ready.values().map(|group| group.deferrable as usize).sum();
-        let mut is_filling = 2 * running >= self.shape.batch || gathered + reserved >= self.shape.batch;
+        let mut is_filling =
+            2 * running >= self.shape.batch || gathered + reserved >= self.shape.batch;
         let mut dispatch = Vec::new();
         for (index, item) in waiting.iter().enumerate() {
             let Some(group) = ready.get(item.adapter) else {
--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -30,10 +30,12 @@
         while let Some(Incoming { request, replies }) = incoming.recv().await {
             match request {
                 PeerRequest::Heartbeats(heartbeats) => {
-                    actix_rt::spawn(reply_heartbeats(gossip.take_in(heartbeats), replies));
+                    let known = PeerReply::Heartbeats(gossip.take_in(heartbeats));
+                    actix_rt::spawn(reply_once(known, replies));
                 }
                 PeerRequest::OwnHeartbeat(heartbeat) => {
-                    actix_rt::spawn(reply_heartbeats(gossip.take_in_one(heartbeat), replies));
+                    let known = PeerReply::Heartbeats(gossip.take_in_one(heartbeat));
+                    actix_rt::spawn(reply_once(known, replies));
                 }
                 PeerRequest::LoadPermit(request) => {
                     if let Some(broker) = PermitBroker::current() {
@@ -54,19 +56,16 @@
                 }
                 PeerRequest::Witness(request) => {
                     let answer = session.answer_as_witness(request);
-                    actix_rt::spawn(async move {
-                        if replies.send(&PeerReply::Witness(answer)).await.is_ok() {
-                            replies.finish();
-                        }
-                    });
+                    actix_rt::spawn(reply_once(PeerReply::Witness(answer), replies));
                 }
             }
         }
     });
 }
 
-async fn reply_heartbeats(known: Vec<Heartbeat>, mut replies: ReplySender) {
-    if replies.send(&PeerReply::Heartbeats(known)).await.is_ok() {
+/// Ends a call by its only reply.
+async fn reply_once(reply: PeerReply, mut replies: ReplySender) {
+    if replies.send(&reply).await.is_ok() {
         replies.finish();
     }
 }
