--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -6,7 +6,6 @@
     session::Session,
 };
 use rail_config::ModelName;
-use rail_member::Heartbeat;
 use rail_peer::{Gossip, Incoming, PeerReply, PeerRequest, ReplySender, send_configuration};
 use rail_platform::ConfigFollower;
 use rail_request::{NotRun, NotRunReason, WorkEvent, WorkOrder};
