--- a/crates/rail_member/src/lib.rs
+++ b/crates/rail_member/src/lib.rs
@@ -4,12 +4,13 @@
 //! incarnation replaces a smaller one, and a leaving mark is never taken back
 //! within one incarnation. [`Freshness`] decides whether the configuration in
 //! force is current enough for new work, and [`list_entry_hosts`] which hosts
-//! callers should use.
+//! callers should use. [`HostPhase`] follows a host from its start to its end.
 
 pub mod entry;
 pub mod freshness;
 pub mod heartbeat;
 pub mod members;
+pub mod phase;
 
 /// Commonly used items.
 pub mod prelude {
@@ -18,6 +19,7 @@
         freshness::{Freshness, PeerReport, Verdict},
         heartbeat::{Heartbeat, Role},
         members::{Member, Members},
+        phase::{HostPhase, Phase, PhaseEvent},
     };
 }
 pub use prelude::*;
--- a/crates/rail_testfleet/tests/membership.rs
+++ b/crates/rail_testfleet/tests/membership.rs
@@ -138,6 +138,54 @@
     }
 }
 
+/// Lists the hosts that an entry host names.
+async fn named_hosts(fleet: &TestFleet, host: u8) -> Vec<String> {
+    let url = format!("{}/v1/entry-hosts", fleet.caller_url(host));
+    let mut reply = awc::Client::default().get(url).send().await.expect("gateway answers");
+    let answer: Value = serde_json::from_slice(&reply.body().await.expect("body")).expect("JSON");
+    let hosts = answer["hosts"].as_array().cloned().unwrap_or_default();
+    hosts.iter().map(|h| h["host"].as_str().unwrap_or_default().to_owned()).collect()
+}
+
+/// Waits until each of these hosts names `count` hosts.
+async fn wait_for_named(fleet: &TestFleet, asked: &[u8], count: usize) {
+    let started = Instant::now();
+    for host in asked {
+        loop {
+            let named = named_hosts(fleet, *host).await;
+            if named.len() == count {
+                break;
+            }
+            assert!(started.elapsed() < LEAVING_LIMIT, "host{host} names {named:?}");
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_stopping_gateway_leaves_all_answers_and_serves_for_the_lifetime() {
+    let lifetime = Duration::from_secs(6);
+    let mut plan = plan();
+    plan.variables.insert("TARRAGON_ENTRY_LIFETIME_MS".into(), lifetime.as_millis().to_string());
+    let mut fleet = TestFleet::start(plan);
+    for host in 1..=3 {
+        fleet.wait_for_gateway(host).await;
+    }
+    wait_for_named(&fleet, &[1, 2, 3], 3).await;
+    let gateway = fleet.take("host1/gateway");
+    gateway.terminate();
+    let stopped_at = Instant::now();
+    wait_for_named(&fleet, &[1, 2, 3], 2).await;
+    while stopped_at.elapsed() < lifetime {
+        let ask = Ask::new("llama:a0@v1", 2);
+        let answer = ask.send(&fleet.caller_url(1)).await;
+        assert!(ask.is_answered_by(&answer), "{answer:?} after {:?}", stopped_at.elapsed());
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    let status = actix_rt::task::spawn_blocking(move || gateway.stop(STOP_LIMIT)).await;
+    assert!(status.expect("stopped").success());
+}
+
 #[actix_rt::test]
 async fn a_whole_host_stopped_under_load_loses_nothing() {
     let mut fleet = TestFleet::start(FleetPlan::default());
--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -2,7 +2,8 @@
 //!
 //! [`caller`] holds the HTTP handlers, [`route`] finds the owner of a
 //! candidate engine, [`answer`] follows the request to its outcome, [`load`]
-//! counts requests in progress, [`services`] passes calls to plain upstreams,
+//! counts requests in progress, [`phases`] leads from start to stop,
+//! [`services`] passes calls to plain upstreams,
 //! [`resume`] reads broken streams on, [`quarantine`] holds back requests that
 //! crash upstreams, [`claims`] runs keyed requests at most once, [`collect`]
 //! removes old claims, [`problem`] writes errors.
@@ -15,6 +16,7 @@
 mod entry;
 mod load;
 mod metrics;
+mod phases;
 mod problem;
 mod quarantine;
 mod resume;
@@ -161,10 +163,11 @@
     let load = load::Load::new(gossip.clone());
     // Answers of other gateways may name this one until the mark has reached them.
     let lifetime = settings.entry_lifetime + settings.heartbeat * LEAVING_SPREAD_INTERVALS;
+    let phases = phases::Phases::open(gossip.clone(), &registry);
     let shared = Shared {
         metrics: metrics::GatewayMetrics::register(&registry),
         settings,
-        gossip: gossip.clone(),
+        gossip,
         peers,
         registry,
         stop: stop.clone(),
@@ -197,13 +200,7 @@
     .run();
     let handle = server.handle();
     log::info!("gateway listens on {address}");
-    actix_rt::spawn(async move {
-        stop.wait().await;
-        log::info!("gateway is leaving");
-        gossip.update_own(|own| own.leaving = true);
-        actix_rt::time::sleep(lifetime).await;
-        handle.stop(true).await;
-    });
+    actix_rt::spawn(phases.run(stop, lifetime, handle));
     server.await?;
     Ok(())
 }
