Freshness model: a greater generation may be heard and not read

Seeded faults: ignoring such a generation passed all tests before; work_is_taken_only_under_a_current_generation fails on it now.

--- a/crates/rail_member/tests/freshness.rs
+++ b/crates/rail_member/tests/freshness.rs
@@ -14,7 +14,7 @@
     SetReach { host: usize, reaches: bool },
     SetLink { a: usize, b: usize, up: bool },
     Poll { host: usize },
-    Ask { host: usize, peer: usize, delay_ms: u16 },
+    Ask { host: usize, peer: usize, delay_ms: u16, fetches: bool },
     Restart { host: usize },
     Pass { ms: u16 },
 }
@@ -32,7 +32,7 @@
             4 => Self::Restart { host },
             5..=9 => Self::Poll { host },
             10..=13 => Self::Pass { ms: u16::arbitrary(g) % 3000 },
-            _ => Self::Ask { host, peer: other, delay_ms: u16::arbitrary(g) % 2000 },
+            _ => Self::Ask { host, peer: other, delay_ms: u16::arbitrary(g) % 2000, fetches: flag },
         }
     }
 }
@@ -120,14 +120,14 @@
                     host.last_contact = self.now;
                 }
             }
-            Event::Ask { host, peer, delay_ms } => self.ask(host, peer, delay_ms),
+            Event::Ask { host, peer, delay_ms, fetches } => self.ask(host, peer, delay_ms, fetches),
             Event::Restart { host } => self.hosts[host] = Host::start(host, self.now),
             Event::Pass { ms } => self.now += Duration::from_millis(u64::from(ms)),
         }
     }
 
-    /// Asks a peer, whose reply arrives after a delay.
-    fn ask(&mut self, host: usize, peer: usize, delay_ms: u16) {
+    /// Asks a peer, whose reply arrives after a delay; a greater generation may not be fetched.
+    fn ask(&mut self, host: usize, peer: usize, delay_ms: u16, fetches: bool) {
         if host == peer || !self.links[host][peer] {
             return;
         }
@@ -141,7 +141,9 @@
         };
         self.now += Duration::from_millis(u64::from(delay_ms));
         let host = &mut self.hosts[host];
-        host.apply(report.generation, self.now);
+        if fetches {
+            host.apply(report.generation, self.now);
+        }
         host.freshness.take_report(&report, asked_at);
         host.last_contact = self.now;
     }
@@ -193,7 +195,7 @@
         for host in 0..HOSTS {
             model.step(Event::Poll { host });
             for peer in 0..HOSTS {
-                model.step(Event::Ask { host, peer, delay_ms: 1 });
+                model.step(Event::Ask { host, peer, delay_ms: 1, fetches: true });
             }
         }
         model.step(Event::Pass { ms: 1000 });
