--- a/crates/rail_testfleet/tests/placement.rs
+++ b/crates/rail_testfleet/tests/placement.rs
@@ -69,6 +69,20 @@
     assert_eq!(store["over_rate"], 0, "{store}");
 }
 
+/// Finds the entry host that owns the load budget, from the stored ownership.
+async fn budget_owner(fleet: &TestFleet) -> u8 {
+    let platform = fleet.standin_url("platform");
+    let url = format!("{platform}/api/v1/namespaces/any/configmaps/owner-load-budget");
+    let mut reply = awc::Client::default().get(url).send().await.expect("platform answers");
+    let map: Value = reply.json().await.expect("object is JSON");
+    let values = map["data"].as_object().expect("object has data");
+    let record = values.values().next().and_then(Value::as_str).expect("object has a value");
+    let record: Value = serde_json::from_str(record).expect("ownership is JSON");
+    let address = record["address"].as_str().expect("ownership has an address");
+    let is_owner = |host: &u8| address.starts_with(&format!("{}:", fleet.host_ip(*host)));
+    (1..=3).find(is_owner).expect("an entry host owns the load budget")
+}
+
 #[actix_rt::test]
 async fn losing_the_owner_of_the_budget_keeps_loads_within_the_stated_bound() {
     let mut fleet = TestFleet::start(plan());
@@ -77,7 +91,8 @@
     let first = sending.await;
     assert!(first.iter().all(|answer| matches!(answer, Answer::Whole { .. })), "{first:?}");
     let before = fleet.stats("store").await["loads"].as_u64().unwrap_or(0);
-    fleet.kill("host1/scheduler");
+    let owner = budget_owner(&fleet).await;
+    fleet.kill(&format!("host{owner}/scheduler"));
     let started = std::time::Instant::now();
     // Requests at the lost scheduler may fail; what counts is the store.
     let _answers = send_all(&fleet, &asks[20..120]).await;
