Hot adapters spread over more engines, as their owner says

Cause: widening was decided and tested in rail_place but nothing carried the width to the gateways. Test a_hot_adapter_spreads_to_more_engines: fails with the width ignored (one engine ran all requests), passes with it.

--- a/crates/rail_place/src/residency.rs
+++ b/crates/rail_place/src/residency.rs
@@ -105,6 +105,11 @@
         self.entries.get(adapter).is_some_and(|slot| slot.state == SlotState::Resident)
     }
 
+    /// Counts the requests that an adapter serves.
+    pub fn uses(&self, adapter: &str) -> u32 {
+        self.entries.get(adapter).map_or(0, |slot| slot.in_use)
+    }
+
     /// Gives the moment from which an adapter can serve.
     pub fn resident_since(&self, adapter: &str) -> Option<Duration> {
         let slot = self.entries.get(adapter)?;
--- a/crates/rail_request/src/work.rs
+++ b/crates/rail_request/src/work.rs
@@ -36,7 +36,10 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum WorkEvent {
     /// The upstream may have the request from here on.
-    Dispatched,
+    Dispatched {
+        /// Engines over which requests of this adapter should spread.
+        width: u32,
+    },
     /// One part of the answer.
     Token {
         /// Position in the answer, from zero without gaps.
--- a/crates/rail_testfleet/tests/placement.rs
+++ b/crates/rail_testfleet/tests/placement.rs
@@ -122,3 +122,23 @@
     }
     println!("{report}");
 }
+
+#[actix_rt::test]
+async fn a_hot_adapter_spreads_to_more_engines() {
+    let fleet = TestFleet::start(FleetPlan::default());
+    let ask = Ask::new("llama:a0@v1", 40);
+    let urls: Vec<String> = (1..=3).map(|host| fleet.caller_url(host)).collect();
+    for _round in 0..3 {
+        let calls = (0..30).map(|number| ask.send(&urls[number % urls.len()]));
+        for answer in futures_util::future::join_all(calls).await {
+            assert!(ask.is_answered_by(&answer), "{answer:?}");
+        }
+    }
+    let mut engines = 0;
+    for number in 1..=3 {
+        let stats = fleet.stats(&format!("engine{number}")).await;
+        engines += usize::from(!stats["executions"].as_array().expect("a list").is_empty());
+    }
+    assert!(engines > 1, "one engine ran all requests");
+    assert_eq!(fleet.sum_engines("evicted_in_use").await, 0);
+}
--- a/crates/tarragon_gateway/src/answer.rs
+++ b/crates/tarragon_gateway/src/answer.rs
@@ -159,7 +159,7 @@
                 if !is_first {
                     actix_rt::time::sleep(PASS_PAUSE).await;
                 }
-                self.candidates = self.gateway.candidates(&self.order.model, &self.avoided).into();
+                self.candidates = self.gateway.candidates(&self.order, &self.avoided).into();
                 continue;
             };
             self.order.engine = engine;
@@ -194,7 +194,12 @@
                 Source::None => Some(RequestEvent::Lost),
                 Source::Engine(reader) => Some(reader.next().await),
                 Source::Owner(replies) => match replies.next().await {
-                    Ok(Some(PeerReply::Work(event))) => from_owner(event),
+                    Ok(Some(PeerReply::Work(event))) => {
+                        if let WorkEvent::Dispatched { width } = event {
+                            self.gateway.note_width(&self.order.model, width);
+                        }
+                        from_owner(event)
+                    }
                     _ => Some(RequestEvent::Lost),
                 },
             }
@@ -270,7 +275,7 @@
 /// Translates an event of the owner; none for a crash, which is judged first.
 fn from_owner(event: WorkEvent) -> Option<RequestEvent> {
     Some(match event {
-        WorkEvent::Dispatched => RequestEvent::Dispatched,
+        WorkEvent::Dispatched { .. } => RequestEvent::Dispatched,
         WorkEvent::Token { offset, model, text } => RequestEvent::Token { offset, model, text },
         WorkEvent::Final { tokens } => RequestEvent::Final { tokens: Some(tokens) },
         WorkEvent::NotRun(not_run) => RequestEvent::Refused(not_run),
--- a/crates/tarragon_gateway/src/main.rs
+++ b/crates/tarragon_gateway/src/main.rs
@@ -26,6 +26,7 @@
 use actix_web::{App, HttpServer, dev::Service, web};
 use rail_member::{Heartbeat, Role};
 use rail_peer::{Gossip, PeerClient, follow_configuration, follow_sessions};
+use rail_place::WidthHints;
 use rail_platform::{ConfigFollower, HostList, ObjectKind, PlatformClient, WatchCache};
 use rail_request::RetryBudget;
 use rail_runtime::{FleetSettings, LiveKeys, Metrics, StopSignal, start_logging};
@@ -74,6 +75,8 @@
     pub quarantine: quarantine::Quarantine,
     /// Retries that may still be made.
     pub budget: Rc<RefCell<RetryBudget>>,
+    /// Widths of hot adapters.
+    pub widths: Rc<RefCell<WidthHints>>,
     /// Known processes.
     pub gossip: Gossip,
     /// Links to schedulers.
@@ -114,6 +117,7 @@
                 shared.metrics.crashes.clone(),
             ),
             budget: Rc::default(),
+            widths: Rc::default(),
             platform: platform.clone(),
             services: services::Services::open(shared.metrics.ejections.clone()),
             settings: shared.settings,
--- a/crates/tarragon_gateway/src/route.rs
+++ b/crates/tarragon_gateway/src/route.rs
@@ -3,10 +3,12 @@
 use crate::{Gateway, answer::Answer, problem::Result};
 use rail_lease::OwnershipRecord;
 use rail_peer::{PeerRequest, ReplyStream};
-use rail_place::rank_engines;
+use rail_place::{Width, choose_engines, rank_engines};
 use rail_request::{NotRun, NotRunReason, WorkOrder};
 use std::{net::SocketAddr, time::Duration};
 
+/// Load of an engine that the gateway does not know; owners refuse what is too much.
+const UNKNOWN_LOAD: f64 = 0.0;
 /// Candidates that one pass tries.
 const MAX_CANDIDATES: usize = 3;
 /// Age of a heartbeat above which it names no owner any more.
@@ -38,12 +40,18 @@
     }
 
     /// Lists candidate engines with their owners, best first; avoided ones only for want of others.
-    pub fn candidates(&self, model: &str, avoided: &[String]) -> Vec<(String, SocketAddr)> {
+    pub fn candidates(&self, order: &WorkOrder, avoided: &[String]) -> Vec<(String, SocketAddr)> {
+        let model = order.model.as_str();
         let base = model.split(':').next().unwrap_or_default();
         let fleet = self.config.current();
         let engines = fleet.engines_of(base).map(|(name, _)| name.as_str());
-        let mut owned: Vec<(String, SocketAddr)> = rank_engines(model, engines)
+        let ranked = rank_engines(model, engines);
+        let width = self.widths.borrow().width(model, self.started_at.elapsed());
+        let loads = vec![UNKNOWN_LOAD; ranked.len()];
+        let spread = choose_engines(&loads, width, order.request_id);
+        let mut owned: Vec<(String, SocketAddr)> = spread
             .into_iter()
+            .map(|position| ranked[position])
             .filter_map(|engine| Some((engine.to_owned(), self.find_owner(engine)?)))
             .collect();
         owned.sort_by_key(|(engine, _)| avoided.contains(engine));
@@ -51,6 +59,11 @@
         owned
     }
 
+    /// Takes in over how many engines an adapter spreads, as its owner said.
+    pub fn note_width(&self, model: &str, width: Width) {
+        self.widths.borrow_mut().observe(model, width, self.started_at.elapsed());
+    }
+
     /// Finds the address of an engine's owner: from the platform, or while that knows none, from
     /// the heartbeats of schedulers, which learn at once when they lose an engine.
     fn find_owner(&self, engine: &str) -> Option<SocketAddr> {
--- a/crates/tarragon_scheduler/src/engine/mod.rs
+++ b/crates/tarragon_scheduler/src/engine/mod.rs
@@ -19,7 +19,7 @@
 use queue::{Queue, Waiting};
 use rail_admit::{EntryId, RefusalReason, Refused};
 use rail_config::Upstream;
-use rail_place::{AdapterKey, EnginePlanner, EngineShape, SlotTicket};
+use rail_place::{AdapterKey, EnginePlanner, EngineShape, SlotTicket, Width, WidthController};
 use rail_platform::ConfigFollower;
 use rail_request::{NotRun, NotRunReason, WorkEvent, WorkOrder};
 use rail_runtime::MonotonicClock;
@@ -100,6 +100,7 @@
     metrics: SchedulerMetrics,
     planner: EnginePlanner,
     queue: Queue,
+    widths: WidthController,
     batch: usize,
     asks: BTreeMap<AdapterKey, PermitTask>,
     preparing: BTreeSet<AdapterKey>,
@@ -131,6 +132,7 @@
             metrics,
             planner: EnginePlanner::new(EngineShape { slots, batch, policy, objective }),
             queue: Queue::new(admission),
+            widths: WidthController::default(),
             batch,
             asks: BTreeMap::new(),
             preparing: BTreeSet::new(),
@@ -208,6 +210,7 @@
         let since = residency.resident_since(&waiting.order.model).unwrap_or(now);
         let stall = since.saturating_sub(waiting.arrived_at);
         self.metrics.count_stall(waiting.order.urgent, stall);
+        let width = self.observe_width(&waiting.order.model, now);
         self.in_flight += 1;
         self.is_isolated = waiting.order.isolated;
         let in_use = InUse { ticket: Some(ticket), engine: ctx.address() };
@@ -218,6 +221,7 @@
             events: waiting.events,
             metrics: self.metrics.clone(),
             boot_id: self.boot_id,
+            width,
         };
         actix_rt::spawn(async move {
             run.complete().await;
@@ -225,6 +229,13 @@
         });
     }
 
+    /// Takes in how much of the batch an adapter uses or waits for; gives its width.
+    fn observe_width(&mut self, adapter: &str, now: Duration) -> Width {
+        let used = self.planner.residency().uses(adapter) as usize;
+        let share = (used + self.queue.count_of(adapter)) as f64 / self.batch as f64;
+        self.widths.observe(adapter, share, now)
+    }
+
     fn finish_drain(&mut self) {
         if self.in_flight == 0 {
             for done in self.draining.drain(..) {
--- a/crates/tarragon_scheduler/src/engine/queue.rs
+++ b/crates/tarragon_scheduler/src/engine/queue.rs
@@ -104,6 +104,11 @@
         counts
     }
 
+    /// Counts the requests that wait for one adapter.
+    pub(super) fn count_of(&self, adapter: &str) -> usize {
+        self.waiting.iter().filter(|(_, waiting)| waiting.order.model == adapter).count()
+    }
+
     /// Counts a request that the engine finished.
     pub(super) fn finish_one(&mut self, now: Duration, saturated: bool) {
         self.waiting.finish_one(now, saturated);
--- a/crates/tarragon_scheduler/src/engine/run.rs
+++ b/crates/tarragon_scheduler/src/engine/run.rs
@@ -3,6 +3,7 @@
 use super::{Events, LOAD_RETRY};
 use crate::metrics::SchedulerMetrics;
 use futures_util::StreamExt;
+use rail_place::Width;
 use rail_request::{Failed, NotRun, NotRunReason, WorkEvent, WorkOrder};
 use rail_upstream::{Completion, EngineClient, StreamPart};
 
@@ -17,6 +18,7 @@
     pub(super) events: Events,
     pub(super) metrics: SchedulerMetrics,
     pub(super) boot_id: Option<u64>,
+    pub(super) width: Width,
 }
 
 impl Run {
@@ -29,7 +31,7 @@
             }
             WorkEvent::NotRun(not_run) => self.metrics.refusals.count(&not_run.reason.to_string()),
             WorkEvent::Failed(failed) => self.metrics.failures.count(&failed.to_string()),
-            WorkEvent::Dispatched | WorkEvent::Token { .. } => {}
+            WorkEvent::Dispatched { .. } | WorkEvent::Token { .. } => {}
         }
         if self.events.send(last).await.is_err() {
             self.cancel().await;
@@ -45,7 +47,7 @@
             stream: true,
             priority: if self.order.urgent { 0 } else { DEFERRABLE_PRIORITY },
         };
-        if self.events.send(WorkEvent::Dispatched).await.is_err() {
+        if self.events.send(WorkEvent::Dispatched { width: self.width }).await.is_err() {
             return WorkEvent::Failed(Failed::UnknownOutcome);
         }
         let started = self.client.complete(&completion, self.order.request_id, self.fence).await;
