--- /dev/null
+++ b/crates/rail_lease/tests/comparison.rs
@@ -0,0 +1,93 @@
+//! Compares outage policies over the same fault schedules.
+
+mod model;
+
+use model::{Action, Policy, Waits, World};
+
+/// Length of each schedule in units of time.
+const LENGTH: u64 = 16;
+/// Witnesses in every schedule.
+const WITNESSES: usize = 3;
+
+type Schedule = (&'static str, &'static [(u64, Action)]);
+
+/// Faults by the unit of time in which they begin or end.
+const SCHEDULES: &[Schedule] = &[
+    ("outage for all", &[(1, Action::Outage(true)), (5, Action::Outage(false))]),
+    (
+        "outage, one witness replaced",
+        &[(1, Action::Outage(true)), (2, Action::ReplaceWitness(0)), (5, Action::Outage(false))],
+    ),
+    ("holder cut", &[(1, Action::CutHolder(true)), (9, Action::CutHolder(false))]),
+    (
+        "holder and one witness cut",
+        &[(1, Action::CutHolder(true)), (1, Action::CutWitness(0, true))],
+    ),
+    (
+        "holder and two witnesses cut",
+        &[
+            (1, Action::CutHolder(true)),
+            (1, Action::CutWitness(0, true)),
+            (1, Action::CutWitness(1, true)),
+            (4, Action::CutHolder(false)),
+        ],
+    ),
+    ("holder killed", &[(1, Action::Kill)]),
+    (
+        "holder killed in an outage",
+        &[(1, Action::Outage(true)), (2, Action::Kill), (5, Action::Outage(false))],
+    ),
+    ("holder paused", &[(1, Action::Pause), (8, Action::Resume)]),
+];
+
+#[derive(Debug, Default)]
+struct Result {
+    violations: u64,
+    without_owner: u64,
+}
+
+fn run(schedule: &[(u64, Action)], policy: Policy, waits: Waits) -> Result {
+    let mut world = World::new(WITNESSES, u8::MAX, policy, waits);
+    let start = world.now;
+    let mut result = Result::default();
+    while world.now < start + LENGTH {
+        let due = schedule.iter().filter(|(at, _)| start + at == world.now);
+        let actions: Vec<Action> = due.map(|(_, action)| *action).collect();
+        for action in actions.into_iter().chain(world.fair_round()) {
+            world = world.apply(action).unwrap_or(world);
+            result.violations += u64::from(world.is_violated());
+        }
+        result.without_owner += u64::from(!world.has_owner());
+        world = world.apply(Action::Tick).expect("time passes");
+    }
+    result
+}
+
+#[test]
+fn chosen_policy_is_safe_and_keeps_an_owner() {
+    let variants = [
+        (Policy::StopAtTtl, Waits::NoPledges),
+        (Policy::Blind, Waits::NoPledges),
+        (Policy::Unanimity, Waits::Chosen),
+        (Policy::Chosen, Waits::Chosen),
+    ];
+    let mut totals = Vec::new();
+    for (policy, waits) in variants {
+        let mut total = Result::default();
+        for (name, schedule) in SCHEDULES {
+            let Result { violations, without_owner } = run(schedule, policy, waits);
+            println!("{policy:?} | {name} | {} | {without_owner}", u8::from(violations > 0));
+            total.violations += u64::from(violations > 0);
+            total.without_owner += without_owner;
+        }
+        println!("{policy:?} | total | {} | {}", total.violations, total.without_owner);
+        totals.push(total);
+    }
+    let [stop, blind, unanimity, chosen] = totals.as_slice() else {
+        panic!("four policies");
+    };
+    assert_eq!(chosen.violations, 0);
+    assert!(blind.violations > 0, "the schedules tell a blind holder from a safe one");
+    assert!(chosen.without_owner < stop.without_owner);
+    assert!(chosen.without_owner <= unanimity.without_owner);
+}
--- a/crates/rail_lease/tests/exploration.rs
+++ b/crates/rail_lease/tests/exploration.rs
@@ -2,7 +2,7 @@
 
 mod model;
 
-use model::{Action, MAX_OUTAGE, Outcome, Policy, TTL, Waits, World};
+use model::{Action, Cuts, MAX_OUTAGE, Outcome, Policy, TTL, Waits, World};
 use pathfinding::directed::bfs::{bfs, bfs_reach};
 
 /// Last moment of an exploration: the end of the longest outage after the first renewal.
@@ -73,6 +73,15 @@
     assert_explored("1 witness, cut, replaced", after(start, &[Action::ReplaceWitness(0)]));
 }
 
+#[test]
+fn three_witnesses_of_which_two_are_cut_with_the_holder_for_good_and_one_fault() {
+    let start = World::new(3, 4, Policy::Chosen, Waits::Chosen);
+    let cuts = [Action::CutHolder(true), Action::CutWitness(0, true), Action::CutWitness(1, true)];
+    let mut start = after(start, &cuts);
+    start.cuts = Cuts::Last;
+    assert_explored("3 witnesses, holder and 2 cut for good, 1 fault", start);
+}
+
 #[test]
 fn holder_and_witnesses_replaced_in_an_outage() {
     let start = World::new(3, 2, Policy::Chosen, Waits::Chosen);
