--- a/crates/rail_testfleet/tests/ownership.rs
+++ b/crates/rail_testfleet/tests/ownership.rs
@@ -1,6 +1,7 @@
 //! Ownership of engines through faults, with real processes.
 
 use futures_util::future::join_all;
+use rail_lease::timing::RENEWAL_WRITES_PER_S;
 use rail_testfleet::{Answer, Ask, FleetPlan, TestFleet};
 use serde_json::json;
 use std::time::{Duration, Instant};
@@ -143,6 +144,47 @@
     assert_nothing_evicted_in_use(&fleet).await;
 }
 
+async fn planned_stop_with(faults: serde_json::Value) {
+    let mut fleet = TestFleet::start(plan(true));
+    let owner = host_of(&fleet, "engine1");
+    let process = fleet.take(&format!("host{owner}/scheduler"));
+    fleet.set_faults("platform", faults.clone()).await;
+    let stopped = actix_rt::task::spawn_blocking(move || process.stop(OWNER_LIMIT)).await;
+    assert!(stopped.expect("stopped").success(), "ends with success");
+    fleet.set_faults("platform", json!({})).await;
+    let takeover = time_to_takeover(&fleet, owner).await;
+    println!("planned stop with {faults}: taken over {takeover:.2?} after the fault");
+    time_to_answer(&fleet, other_host(owner)).await;
+    assert_nothing_evicted_in_use(&fleet).await;
+}
+
+#[actix_rt::test]
+async fn planned_stop_with_lost_replies_hands_over() {
+    planned_stop_with(json!({"lose_write_replies": 4})).await;
+}
+
+#[actix_rt::test]
+async fn planned_stop_with_slow_writes_hands_over() {
+    planned_stop_with(json!({"write_delay_ms": 400})).await;
+}
+
+#[actix_rt::test]
+async fn planned_stop_in_an_outage_hands_over_after_it() {
+    planned_stop_with(json!({"down": true})).await;
+}
+
+#[actix_rt::test]
+async fn owner_restarted_at_its_address_is_replaced() {
+    let mut fleet = TestFleet::start(plan(true));
+    let owner = host_of(&fleet, "engine1");
+    let name = format!("host{owner}/scheduler");
+    fleet.kill(&name);
+    fleet.start_process(&name);
+    let ready = time_to_answer(&fleet, other_host(owner)).await;
+    println!("killed and restarted: answers after {ready:.2?}");
+    assert_nothing_evicted_in_use(&fleet).await;
+}
+
 #[actix_rt::test]
 async fn owners_keep_their_engines_while_the_platform_is_down_for_all() {
     let fleet = TestFleet::start(plan(true));
@@ -233,3 +275,32 @@
     time_to_answer(&fleet, other_host(owner)).await;
     assert_nothing_evicted_in_use(&fleet).await;
 }
+
+/// Writes a second to the platform by an idle fleet.
+async fn idle_writes_per_s(hosts: u8) -> f64 {
+    let fleet = TestFleet::start(FleetPlan { hosts, ..plan(true) });
+    let read = async || {
+        let stats = fleet.stats("platform").await;
+        ["reads", "writes", "watches"].map(|key| stats[key].as_u64().unwrap_or(0) as f64)
+    };
+    actix_rt::time::sleep(TTL).await;
+    let before = read().await;
+    let time = 3 * TTL;
+    actix_rt::time::sleep(time).await;
+    let after = read().await;
+    let rates: Vec<f64> = after
+        .iter()
+        .zip(before)
+        .map(|(after, before)| (after - before) / time.as_secs_f64())
+        .collect();
+    println!("{hosts} hosts: reads, writes, new watches a second {rates:.2?}");
+    rates[1]
+}
+
+#[actix_rt::test]
+async fn renewals_stay_under_their_write_budget() {
+    for hosts in [3, 9] {
+        let writes_per_s = idle_writes_per_s(hosts).await;
+        assert!(writes_per_s <= RENEWAL_WRITES_PER_S, "{hosts} hosts: {writes_per_s}");
+    }
+}
