--- /dev/null
+++ b/crates/rail_lease/tests/holder.rs
@@ -0,0 +1,65 @@
+//! A holder counts from the first attempt of a renewal, and stops after a pause.
+
+use rail_lease::{CallEffect, HolderCommand, LeaseTimes, SessionHolder, SessionRecord};
+use std::time::Duration;
+
+const TTL: Duration = Duration::from_secs(3);
+
+fn at(time_ms: u64) -> Duration {
+    Duration::from_millis(time_ms)
+}
+
+fn renewal(holder: &mut SessionHolder, now: Duration) -> (SessionRecord, String) {
+    match holder.poll(now) {
+        Some(HolderCommand::Renew { record, expected_version }) => (record, expected_version),
+        other => panic!("a renewal is due: {other:?}"),
+    }
+}
+
+fn started() -> SessionHolder {
+    let record = SessionRecord {
+        session_id: 1,
+        host: "host1".to_owned(),
+        zone: "zone1".to_owned(),
+        address: "127.0.0.1:1".parse().expect("address"),
+        ttl_ms: TTL.as_millis() as u64,
+        renewals: 0,
+        leaving: false,
+        revoked: false,
+        witnesses: Vec::new(),
+    };
+    let times = LeaseTimes { pause_margin: TTL / 2, max_outage: TTL };
+    let mut holder = SessionHolder::new(record.clone(), times);
+    holder.tick(at(0));
+    holder.poll(at(0)).expect("creation");
+    holder.acknowledge(record, "1".to_owned());
+    holder
+}
+
+#[test]
+fn a_record_read_back_counts_from_the_first_attempt_to_write_it() {
+    let mut holder = started();
+    let (written, _) = renewal(&mut holder, at(1000));
+    holder.fail(CallEffect::Unknown, at(1000));
+    holder.tick(at(1400));
+    let (retried, expected) = renewal(&mut holder, at(2500));
+    assert_eq!((&retried, expected.as_str()), (&written, "1"), "the same record is retried");
+    holder.acknowledge(written, "2".to_owned());
+    holder.tick(at(2700));
+    holder.tick(at(3900));
+    assert!(holder.is_in_force(at(3999)));
+    assert!(!holder.is_in_force(at(4000)), "a revoker may have seen the record since 1000 ms");
+}
+
+#[test]
+fn a_pause_above_the_margin_needs_a_renewal_sent_after_it() {
+    let mut holder = started();
+    let (before, _) = renewal(&mut holder, at(1000));
+    assert!(!holder.is_in_force(at(1501)), "the gap counts before the next tick");
+    holder.tick(at(1600));
+    holder.acknowledge(before, "2".to_owned());
+    assert!(!holder.is_in_force(at(1600)), "a renewal sent before the pause is not enough");
+    let (after, _) = renewal(&mut holder, at(1600));
+    holder.acknowledge(after, "3".to_owned());
+    assert!(holder.is_in_force(at(1600)));
+}
