--- a/crates/rail_testfleet/tests/at_most_once.rs
+++ b/crates/rail_testfleet/tests/at_most_once.rs
@@ -390,13 +390,17 @@
         }
     }
     let mut whole = 0;
+    let mut problems = BTreeMap::new();
     for (ask, answer) in asks.iter().zip(&answers) {
         match answer {
             Answer::Whole { .. } => assert!(ask.is_answered_by(answer), "wrong: {answer:?}"),
-            Answer::Problem { .. } => continue,
+            Answer::Problem { reason, .. } => {
+                *problems.entry(reason.clone()).or_insert(0) += 1;
+                continue;
+            }
             lost => panic!("silent loss: {lost:?}"),
         }
         whole += 1;
     }
-    println!("calls: {counts:?}; completions: {whole} whole of {}", asks.len());
+    println!("calls: {counts:?}; completions: {whole} whole of {}, {problems:?}", asks.len());
 }
--- a/crates/tarragon_gateway/src/answer.rs
+++ b/crates/tarragon_gateway/src/answer.rs
@@ -17,8 +17,8 @@
     time::{Duration, Instant},
 };
 
-/// Passes over the candidates before a request is given up.
-const MAX_PASSES: u32 = 20;
+/// Passes over the candidates before a request is given up; they outlast one transfer of ownership.
+const MAX_PASSES: u32 = 60;
 /// Pause between passes.
 const PASS_PAUSE: Duration = Duration::from_millis(100);
 /// Time after the deadline in which the owner's own refusal is awaited.
