--- a/crates/rail_lease/tests/model/mod.rs
+++ b/crates/rail_lease/tests/model/mod.rs
@@ -7,7 +7,7 @@
 use rail_lease::{
     LeaseTimes, SessionHolder, SessionObserver, SessionRecord, SessionWitness, Witness, majority,
 };
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 pub const TTL: u64 = 2;
 pub const MAX_OUTAGE: u64 = 3;
@@ -94,18 +94,18 @@
     pub faults_left: u8,
     pub policy: Policy,
     pub waits: Waits,
-    pub holder: SessionHolder,
+    pub holder: Rc<SessionHolder>,
     pub process: Process,
     pub cuts: Cuts,
-    pub stored: SessionRecord,
+    pub stored: Rc<SessionRecord>,
     pub version: u64,
     delayed_renewal: Option<(SessionRecord, u64)>,
     delayed_revocation: Option<u64>,
     is_holder_cut: bool,
     is_revoker_cut: bool,
     was_revoker_away: bool,
-    observer: SessionObserver,
-    witnesses: Vec<WitnessProcess>,
+    observer: Rc<SessionObserver>,
+    witnesses: Vec<Rc<WitnessProcess>>,
 }
 
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
@@ -151,39 +151,43 @@
             faults_left: faults,
             policy,
             waits,
-            holder,
+            holder: Rc::new(holder),
             process: Process::Running,
             cuts: Cuts::Heal,
-            stored: record,
+            stored: Rc::new(record),
             version: 1,
             delayed_renewal: None,
             delayed_revocation: None,
             is_holder_cut: false,
             is_revoker_cut: false,
             was_revoker_away: false,
-            observer,
-            witnesses: (0..witnesses as u64).map(process).collect(),
+            observer: Rc::new(observer),
+            witnesses: (0..witnesses as u64).map(|index| Rc::new(process(index))).collect(),
         }
     }
 
     /// Names only the later half of the witnesses, or the earlier, from the next renewal on.
     pub fn rename_witnesses(&mut self, from: usize, count: usize) {
         let address = self.stored.address;
-        let named = |w: &WitnessProcess| Witness { session_id: w.id, address };
+        let named = |w: &Rc<WitnessProcess>| Witness { session_id: w.id, address };
         let set = self.witnesses[from..from + count].iter().map(named).collect();
-        self.holder.set_fleet(1, set);
+        Rc::make_mut(&mut self.holder).set_fleet(1, set);
     }
 
     /// Names the first `count` witnesses in the record that stands.
     pub fn start_with_first(mut self, count: usize) -> Self {
-        self.stored.witnesses.truncate(count);
-        let mut holder = SessionHolder::new(self.stored.clone(), TIMES);
+        Rc::make_mut(&mut self.stored).witnesses.truncate(count);
+        let mut holder = SessionHolder::new(SessionRecord::clone(&self.stored), TIMES);
         holder.tick(units(self.now));
         holder.poll(units(self.now)).expect("creation");
-        holder.acknowledge(self.stored.clone(), "1".to_owned());
-        self.holder = holder;
-        self.observer = SessionObserver::new(TIMES);
-        self.observer.observe(self.stored.clone(), "1".to_owned(), units(self.now));
+        holder.acknowledge(SessionRecord::clone(&self.stored), "1".to_owned());
+        self.holder = Rc::new(holder);
+        self.observer = Rc::new(SessionObserver::new(TIMES));
+        Rc::make_mut(&mut self.observer).observe(
+            SessionRecord::clone(&self.stored),
+            "1".to_owned(),
+            units(self.now),
+        );
         self
     }
 
@@ -251,7 +255,7 @@
             Action::Outage(false),
         ];
         // A running holder renews within a unit of time; a slower one counts as paused.
-        let mut holder = self.holder.clone();
+        let mut holder = SessionHolder::clone(&self.holder);
         let is_renewal_due =
             self.process == Process::Running && holder.poll(units(self.now)).is_some();
         if self.now < horizon && !is_renewal_due {
--- a/crates/rail_lease/tests/model/steps.rs
+++ b/crates/rail_lease/tests/model/steps.rs
@@ -5,6 +5,7 @@
     units,
 };
 use rail_lease::{CallEffect, HolderCommand, SessionRecord, WitnessRefusal};
+use std::rc::Rc;
 
 impl World {
     /// Applies an action; none when it is not possible or changes nothing.
@@ -19,7 +20,7 @@
             Action::Tick => {
                 self.now += 1;
                 if self.process == Process::Running {
-                    self.holder.tick(units(self.now));
+                    Rc::make_mut(&mut self.holder).tick(units(self.now));
                 }
                 true
             }
@@ -38,7 +39,7 @@
                 let resumed = self.process == Process::Paused;
                 if resumed {
                     self.process = Process::Running;
-                    self.holder.tick(units(self.now));
+                    Rc::make_mut(&mut self.holder).tick(units(self.now));
                 }
                 resumed
             }
@@ -47,13 +48,13 @@
             Action::CutHolder(cut) => self.spend(cut) && flip(&mut self.is_holder_cut, cut),
             Action::CutRevoker(cut) => self.spend(cut) && self.cut_revoker(cut),
             Action::CutWitness(index, cut) => {
-                self.spend(cut) && flip(&mut self.witnesses[index].is_cut, cut)
+                self.spend(cut) && flip(&mut Rc::make_mut(&mut self.witnesses[index]).is_cut, cut)
             }
             Action::Outage(cut) => {
                 self.spend(cut);
                 self.is_holder_cut = cut;
                 self.cut_revoker(cut);
-                self.witnesses.iter_mut().for_each(|w| w.is_cut = cut);
+                self.witnesses.iter_mut().for_each(|w| Rc::make_mut(w).is_cut = cut);
                 true
             }
             Action::ReplaceWitness(index) => self.spend(true) && self.replace_witness(index),
@@ -65,7 +66,7 @@
             Action::Pledge(index) => self.pledge(index),
             Action::FindHolderReplaced => {
                 if self.process == Process::Replaced {
-                    self.observer.take_gone(HOLDER_ID, units(self.now));
+                    Rc::make_mut(&mut self.observer).take_gone(HOLDER_ID, units(self.now));
                 }
                 true
             }
@@ -95,7 +96,7 @@
     }
 
     fn replace_witness(&mut self, index: usize) -> bool {
-        let witness = &mut self.witnesses[index];
+        let witness = Rc::make_mut(&mut self.witnesses[index]);
         let fresh = WitnessProcess { id: witness.id + REPLACED_BY, ..WitnessProcess::default() };
         let is_first = witness.id < REPLACED_BY;
         *witness = WitnessProcess { is_cut: witness.is_cut, ..fresh };
@@ -103,7 +104,7 @@
     }
 
     fn store(&mut self, record: SessionRecord) {
-        self.stored = record;
+        self.stored = Rc::new(record);
         self.version += 1;
     }
 
@@ -112,17 +113,19 @@
         if self.process != Process::Running {
             return false;
         }
-        let Some(HolderCommand::Renew { record, expected_version }) = self.holder.poll(now) else {
+        let Some(HolderCommand::Renew { record, expected_version }) =
+            Rc::make_mut(&mut self.holder).poll(now)
+        else {
             return false;
         };
         let expected = expected_version.parse::<u64>().expect("versions are numbers");
         if self.is_holder_cut {
-            self.holder.fail(CallEffect::None, now);
+            Rc::make_mut(&mut self.holder).fail(CallEffect::None, now);
             return outcome == Outcome::Answered;
         }
         if outcome == Outcome::Delayed {
             self.delayed_renewal = Some((record, expected));
-            self.holder.fail(CallEffect::Unknown, now);
+            Rc::make_mut(&mut self.holder).fail(CallEffect::Unknown, now);
             return self.spend(true);
         }
         if expected != self.version {
@@ -131,18 +134,19 @@
         }
         self.store(record.clone());
         if outcome == Outcome::ReplyLost {
-            self.holder.fail(CallEffect::Unknown, now);
+            Rc::make_mut(&mut self.holder).fail(CallEffect::Unknown, now);
             return self.spend(true);
         }
-        self.holder.acknowledge(record, self.version.to_string());
+        Rc::make_mut(&mut self.holder).acknowledge(record, self.version.to_string());
         true
     }
 
     fn settle(&mut self) {
         if self.stored.revoked {
-            self.holder.end();
+            Rc::make_mut(&mut self.holder).end();
         } else {
-            self.holder.acknowledge(self.stored.clone(), self.version.to_string());
+            Rc::make_mut(&mut self.holder)
+                .acknowledge(SessionRecord::clone(&self.stored), self.version.to_string());
         }
     }
 
@@ -150,8 +154,11 @@
         if self.process != Process::Running || self.policy == Policy::StopAtTtl {
             return false;
         }
-        let Some(request) = self.holder.poll_witnesses(units(self.now)) else { return false };
+        let Some(request) = Rc::make_mut(&mut self.holder).poll_witnesses(units(self.now)) else {
+            return false;
+        };
         for witness in &mut self.witnesses {
+            let witness = Rc::make_mut(witness);
             // A reachable witness refuses, and an answer after a later cut counts for less time than
             // one to a later question: only questions to cut witnesses are explored.
             let is_named = request.witnesses.iter().any(|w| w.session_id == witness.id);
@@ -164,11 +171,11 @@
 
     fn answer(&mut self, index: usize) -> bool {
         let now = units(self.now);
-        let witness = &mut self.witnesses[index];
+        let witness = Rc::make_mut(&mut self.witnesses[index]);
         let Some((asked_at, renewals)) = witness.asked.take() else { return false };
         let reachable = !witness.is_cut;
         if witness.given.confirm(HOLDER_ID, renewals, reachable, now).is_ok() {
-            self.holder.confirm(witness.id, units(asked_at));
+            Rc::make_mut(&mut self.holder).confirm(witness.id, units(asked_at));
         }
         true
     }
@@ -179,15 +186,19 @@
         }
         let now = units(self.now);
         if std::mem::take(&mut self.was_revoker_away) && self.waits != Waits::NoneAfterOutage {
-            self.observer.restart_waits(now);
+            Rc::make_mut(&mut self.observer).restart_waits(now);
         }
-        self.observer.observe(self.stored.clone(), self.version.to_string(), now);
+        Rc::make_mut(&mut self.observer).observe(
+            SessionRecord::clone(&self.stored),
+            self.version.to_string(),
+            now,
+        );
         true
     }
 
     fn pledge(&mut self, index: usize) -> bool {
         let now = units(self.now);
-        let witness = &mut self.witnesses[index];
+        let witness = Rc::make_mut(&mut self.witnesses[index]);
         let asked = witness.id % REPLACED_BY;
         let requests = self.observer.missing_pledges(now);
         let Some(request) = requests.iter().find(|r| r.witness.session_id == asked) else {
@@ -200,13 +211,21 @@
         };
         let is_at_once = self.waits != Waits::Chosen;
         match answer {
-            Ok(()) => self.observer.take_pledge(request.session_id, request.renewals, asked),
+            Ok(()) => Rc::make_mut(&mut self.observer).take_pledge(
+                request.session_id,
+                request.renewals,
+                asked,
+            ),
             Err(WitnessRefusal::Replaced) if is_at_once => {
-                self.observer.take_gone(asked, now.saturating_sub(units(TTL)));
+                Rc::make_mut(&mut self.observer).take_gone(asked, now.saturating_sub(units(TTL)));
             }
-            Err(WitnessRefusal::Replaced) => self.observer.take_gone(asked, now),
+            Err(WitnessRefusal::Replaced) => Rc::make_mut(&mut self.observer).take_gone(asked, now),
             Err(_) if self.waits == Waits::NoPledges => {
-                self.observer.take_pledge(request.session_id, request.renewals, asked);
+                Rc::make_mut(&mut self.observer).take_pledge(
+                    request.session_id,
+                    request.renewals,
+                    asked,
+                );
             }
             Err(_) => {}
         }
@@ -233,7 +252,7 @@
 
     fn revoke_version(&mut self, expected: u64) {
         if expected == self.version {
-            let record = SessionRecord { revoked: true, ..self.stored.clone() };
+            let record = SessionRecord { revoked: true, ..SessionRecord::clone(&self.stored) };
             self.store(record);
         }
     }
