One crash counts once when the reply of its record is lost

Records now name the attempt, a lost reply is settled by reading back, and equal requests wait for the one that is tried instead of being refused. A host no longer keeps a suspect that another host has cleared.

--- a/crates/rail_request/src/quarantine.rs
+++ b/crates/rail_request/src/quarantine.rs
@@ -31,6 +31,9 @@
     pub upstreams: Vec<String>,
     /// Arrival that tries it alone.
     pub trial: Option<TrialId>,
+    /// Attempt whose crash was recorded last; tells a lost reply from a further crash.
+    #[serde(default)]
+    pub last_attempt: u64,
     /// Wall clock of the last change, in milliseconds.
     pub changed_at_ms: u64,
 }
@@ -98,6 +101,7 @@
             reason: "upstream_crashed".to_owned(),
             upstreams: vec![upstream.to_owned()],
             trial,
+            last_attempt: 0,
             changed_at_ms: now_ms,
         }
     }
--- a/crates/rail_testfleet/tests/at_most_once.rs
+++ b/crates/rail_testfleet/tests/at_most_once.rs
@@ -395,6 +395,7 @@
         match answer {
             Answer::Whole { .. } => assert!(ask.is_answered_by(answer), "wrong: {answer:?}"),
             Answer::Problem { reason, .. } => {
+                assert_ne!(reason, "quarantined", "no request of this test crashes an engine");
                 *problems.entry(reason.clone()).or_insert(0) += 1;
                 continue;
             }
--- a/crates/tarragon_gateway/src/answer.rs
+++ b/crates/tarragon_gateway/src/answer.rs
@@ -232,6 +232,7 @@
             fingerprint: self.fingerprint,
             upstream: self.order.engine.clone(),
             trial: self.trial,
+            attempt: self.order.request_id as u64,
             wants_trial,
         };
         let may_retry = self.gateway.quarantine.report(&crash).await;
--- a/crates/tarragon_gateway/src/quarantine.rs
+++ b/crates/tarragon_gateway/src/quarantine.rs
@@ -36,6 +36,8 @@
     pub upstream: String,
     /// Arrival of the request.
     pub trial: TrialId,
+    /// Attempt that crashed.
+    pub attempt: u64,
     /// Whether the arrival may try the request alone.
     pub wants_trial: bool,
 }
@@ -43,7 +45,18 @@
 impl Crash {
     fn first_record(&self, now_ms: u64) -> QuarantineRecord {
         let trial = self.wants_trial.then_some(self.trial);
-        QuarantineRecord::first(self.fingerprint, &self.upstream, trial, now_ms)
+        let first = QuarantineRecord::first(self.fingerprint, &self.upstream, trial, now_ms);
+        QuarantineRecord { last_attempt: self.attempt, ..first }
+    }
+
+    fn next_record(&self, known: &QuarantineRecord, now_ms: u64) -> Option<QuarantineRecord> {
+        let next = known.after_crash(&self.upstream, self.trial, now_ms)?;
+        Some(QuarantineRecord { last_attempt: self.attempt, ..next })
+    }
+
+    /// Reports whether the arrival may try the request alone after this record.
+    fn may_retry(&self, record: &QuarantineRecord) -> bool {
+        record.crashes == 1 && self.wants_trial
     }
 }
 
@@ -60,14 +73,24 @@
     /// [`NotRunReason::Quarantined`] while the request is held back.
     pub async fn admit(&self, order: &WorkOrder, trial: TrialId) -> Result<bool> {
         let fingerprint = Fingerprint::of([order.model.as_bytes(), order.prompt.as_bytes()]);
-        let Some(record) = self.find(fingerprint) else {
-            return Ok(false);
-        };
-        match record.verdict(wall_clock_ms()) {
-            CrashVerdict::Run => Ok(false),
-            CrashVerdict::Refuse { retry_after } => Err(refusal(retry_after)),
-            CrashVerdict::RunAlone if self.take_trial(&record, trial).await => Ok(true),
-            CrashVerdict::RunAlone => Err(refusal(TRIAL_RETRY)),
+        let wait = TRIAL_WAIT.min(order.deadline);
+        let mut waited = Duration::ZERO;
+        loop {
+            let Some(record) = self.find(fingerprint) else {
+                return Ok(false);
+            };
+            let retry_after = match record.verdict(wall_clock_ms()) {
+                CrashVerdict::Run => return Ok(false),
+                CrashVerdict::RunAlone if self.take_trial(&record, trial).await => return Ok(true),
+                CrashVerdict::RunAlone => TRIAL_RETRY,
+                CrashVerdict::Refuse { retry_after } => retry_after,
+            };
+            if record.crashes >= MAX_CRASHES || waited >= wait {
+                return Err(refusal(retry_after));
+            }
+            // An equal request is tried alone; its outcome decides on this one.
+            actix_rt::time::sleep(TRIAL_PAUSE).await;
+            waited += TRIAL_PAUSE;
         }
     }
 
@@ -76,8 +99,13 @@
         for _try in 0..MAX_TRIES {
             let now_ms = wall_clock_ms();
             let (next, version) = match self.read(crash.fingerprint).await {
+                Ok((known, _)) if known.last_attempt == crash.attempt => {
+                    // An earlier write whose reply was lost.
+                    self.count_record(&known);
+                    return crash.may_retry(&known);
+                }
                 Ok((known, version)) if !known.is_over(now_ms) => {
-                    let Some(next) = known.after_crash(&crash.upstream, crash.trial, now_ms) else {
+                    let Some(next) = crash.next_record(&known, now_ms) else {
                         self.counts.count("known_crash");
                         return crash.wants_trial && self.try_after(&known, crash).await;
                     };
@@ -89,10 +117,10 @@
             };
             match self.write(&next, version.as_deref()).await {
                 Ok(()) => {
-                    self.keep(&next);
-                    return next.crashes == 1 && crash.wants_trial;
+                    self.count_record(&next);
+                    return crash.may_retry(&next);
                 }
-                Err(error) if error.is_answer() => {}
+                Err(error) if error.is_answer() || error.is_effect_unknown() => {}
                 Err(_away) => return self.report_locally(crash),
             }
         }
@@ -147,8 +175,14 @@
     }
 
     async fn take_trial(&self, record: &QuarantineRecord, trial: TrialId) -> bool {
-        let Ok((stored, version)) = self.read(record.fingerprint).await else {
-            return false;
+        let (stored, version) = match self.read(record.fingerprint).await {
+            Ok(read) => read,
+            Err(Error::NotFound) => {
+                // Cleared on another host.
+                self.local.borrow_mut().remove(&record.fingerprint);
+                return true;
+            }
+            Err(_away) => return false,
         };
         if stored.verdict(wall_clock_ms()) != CrashVerdict::RunAlone {
             return false;
@@ -160,15 +194,17 @@
     fn report_locally(&self, crash: &Crash) -> bool {
         let now_ms = wall_clock_ms();
         let next = match self.find(crash.fingerprint) {
-            Some(known) => known.after_crash(&crash.upstream, crash.trial, now_ms),
+            Some(known) if known.last_attempt == crash.attempt => Some(known),
+            Some(known) => crash.next_record(&known, now_ms),
             None => Some(crash.first_record(now_ms)),
         };
         let Some(next) = next else {
             return false;
         };
         self.counts.count("platform_away");
+        self.count_record(&next);
         self.keep(&next);
-        let may_retry = next.crashes == 1 && crash.wants_trial;
+        let may_retry = crash.may_retry(&next);
         actix_rt::spawn(self.clone().publish(next));
         may_retry
     }
@@ -189,8 +225,15 @@
         }
     }
 
+    fn count_record(&self, record: &QuarantineRecord) {
+        let is_suspect = record.crashes < MAX_CRASHES;
+        self.counts.count(if is_suspect { "suspected" } else { "quarantined" });
+        if !is_suspect {
+            self.keep(record);
+        }
+    }
+
     fn keep(&self, record: &QuarantineRecord) {
-        self.counts.count(if record.crashes == 1 { "suspected" } else { "quarantined" });
         let mut local = self.local.borrow_mut();
         local.retain(|_, known| !known.is_over(wall_clock_ms()));
         local.insert(record.fingerprint, record.clone());
