Entry answers at 9 hosts name every live host again

Cause: since gateways meet only their own host's scheduler, schedulers learnt of other hosts' gateways only by relays in turn. Trial at 9 hosts: 727 of 1269 answers left out live hosts, at worst 5 of 9. Ruled out: the machine, as all processes were idle. Change: a scheduler's reply carries its gateway's heartbeat, the own scheduler is met in 3 of 4 relay rounds, and a heartbeat counts for 4 s.

--- a/crates/rail_member/src/entry.rs
+++ b/crates/rail_member/src/entry.rs
@@ -5,7 +5,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 /// Age of a heartbeat above which a host is left out.
-pub const MAX_AGE: Duration = Duration::from_secs(3);
+pub const MAX_AGE: Duration = Duration::from_secs(4);
 /// Weight of an idle host in another availability zone.
 const BASE_WEIGHT: u32 = 1000;
 /// Factor of a host in the caller's availability zone.
--- a/crates/rail_peer/src/gossip.rs
+++ b/crates/rail_peer/src/gossip.rs
@@ -109,7 +109,7 @@
         let turn = round / RELAY_INTERVALS % peers.len().max(1);
         // The next peer in turn covers for a scheduler of the own host that is gone.
         let local = peers.iter().position(|peer| Some(peer.ip()) == own_ip);
-        let relay = local.filter(|_| !round.is_multiple_of(2 * RELAY_INTERVALS)).unwrap_or(turn);
+        let relay = local.filter(|_| !round.is_multiple_of(4 * RELAY_INTERVALS)).unwrap_or(turn);
         let targets = peers.into_iter().enumerate();
         targets
             .map(|(number, peer)| (peer, is_relay_round && number == relay))
@@ -187,10 +187,19 @@
         fresh.filter(|h| is_owner(h)).find_map(|h| h.address)
     }
 
-    /// Takes in the heartbeat of a peer and gives the own one.
+    /// Takes in the heartbeat of a peer; gives the own one and that of the host's gateway.
+    ///
+    /// Gateways meet only the scheduler of their host, which is thus the one to pass them on.
     pub fn take_in_one(&self, heartbeat: Heartbeat) -> Vec<Heartbeat> {
-        lock(&self.members).observe(heartbeat, self.clock.now());
-        vec![self.next_own()]
+        let now = self.clock.now();
+        let own = self.next_own();
+        let mut members = lock(&self.members);
+        members.observe(heartbeat, now);
+        let fresh = members.fresh(now, MAX_RELAYED_AGE).map(|member| &member.heartbeat);
+        let gateway = fresh.filter(|h| h.host == own.host && h.role == Role::Gateway);
+        let mut known: Vec<Heartbeat> = gateway.cloned().collect();
+        known.push(own);
+        known
     }
 
     /// Lists known processes with the time since they were heard, this one included.
--- a/crates/rail_testfleet/tests/membership.rs
+++ b/crates/rail_testfleet/tests/membership.rs
@@ -162,6 +162,23 @@
     }
 }
 
+#[actix_rt::test]
+async fn every_gateway_of_nine_names_every_live_host() {
+    let mut plan = FleetPlan { hosts: 9, engines: 1, ..FleetPlan::default() };
+    plan.variables.insert("TARRAGON_HEARTBEAT_MS".into(), "500".into());
+    plan.variables.insert("TARRAGON_SESSION_TTL_MS".into(), "3000".into());
+    let fleet = TestFleet::start(plan);
+    actix_rt::time::sleep(Duration::from_secs(6)).await;
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(10) {
+        for host in 1..=9 {
+            let named = named_hosts(&fleet, host).await;
+            assert_eq!(named.len(), 9, "host{host} names {named:?}");
+        }
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
 #[actix_rt::test]
 async fn a_stopping_gateway_leaves_all_answers_and_serves_for_the_lifetime() {
     let lifetime = Duration::from_secs(6);
