After a takeover only adapters with work left stay held

Cause: a new owner held every adapter that it found loaded until the engine was wholly idle, or for an hour. Under steady load the engine is never idle, so a full engine could take no other adapter after its owner was killed. Change: engines may report which adapters have requests; the others are released by the first report asked for 1 s after the takeover. Engines that report no such list keep the former rule, now with that lag as well.

--- a/crates/rail_testfleet/tests/placement.rs
+++ b/crates/rail_testfleet/tests/placement.rs
@@ -142,3 +142,35 @@
     assert!(engines > 1, "one engine ran all requests");
     assert_eq!(fleet.sum_engines("evicted_in_use").await, 0);
 }
+
+#[actix_rt::test]
+async fn a_full_engine_under_steady_load_takes_new_adapters_after_a_takeover() {
+    let plan = FleetPlan { engines: 1, adapters: 5, ..FleetPlan::default() };
+    let mut fleet = TestFleet::start(plan);
+    let models: Vec<String> =
+        (0..10).map(|number| format!("llama:a{}@v{}", number / 2, number % 2 + 1)).collect();
+    let urls: Vec<String> = (1..=3).map(|host| fleet.caller_url(host)).collect();
+    for model in &models[..8] {
+        let ask = Ask::new(model, 1);
+        assert!(ask.is_answered_by(&ask.send(&urls[0]).await), "{model}");
+    }
+    let owner = fleet.owners()["engine1"].clone();
+    let other = urls[usize::from(owner == "host1")].clone();
+    let steady: Vec<_> = (0..3)
+        .map(|number| {
+            let (ask, url) = (Ask::new("llama:a0@v1", 900 + 150 * number), other.clone());
+            actix_rt::spawn(async move {
+                loop {
+                    ask.stream(&url).await;
+                }
+            })
+        })
+        .collect();
+    actix_rt::time::sleep(std::time::Duration::from_secs(1)).await;
+    fleet.kill(&format!("{owner}/scheduler"));
+    let ask = Ask::new(&models[9], 1);
+    let answer = ask.send(&other).await;
+    steady.iter().for_each(actix_rt::task::JoinHandle::abort);
+    assert!(ask.is_answered_by(&answer), "{answer:?}");
+    assert_eq!(fleet.sum_engines("evicted_in_use").await, 0);
+}
--- a/crates/rail_upstream/src/engine.rs
+++ b/crates/rail_upstream/src/engine.rs
@@ -67,6 +67,19 @@
     pub waiting: u32,
     /// Model names that are loaded.
     pub loaded: Vec<String>,
+    /// Model names with requests that run or wait, where the engine tells them.
+    #[serde(default)]
+    pub busy: Option<Vec<String>>,
+}
+
+impl LoadReport {
+    /// Reports whether a request of this model may run or wait.
+    pub fn is_busy(&self, model: &str) -> bool {
+        match &self.busy {
+            Some(busy) => busy.iter().any(|name| name == model),
+            None => self.running > 0 || self.waiting > 0,
+        }
+    }
 }
 
 /// Parts of one streamed answer.
--- a/crates/tarragon_scheduler/src/engine/orders.rs
+++ b/crates/tarragon_scheduler/src/engine/orders.rs
@@ -13,6 +13,8 @@
 
 /// Loads of one engine that wait for a permit.
 const MAX_ASKS: usize = 4;
+/// Time by which a load report may be late.
+const REPORT_LAG: Duration = Duration::from_secs(1);
 /// Time after which no request of a previous owner can still run.
 const LONGEST_REQUEST: Duration = Duration::from_secs(3600);
 
@@ -187,14 +189,19 @@
         }
         let unknown = self.planner.residency_mut().reconcile(&report.loaded, asked_at, now);
         self.adopted.extend(unknown);
-        let is_idle = report.running == 0 && report.waiting == 0 && self.in_flight == 0;
-        if is_idle || now.saturating_sub(self.adopted_at) > LONGEST_REQUEST {
-            self.release_adopted();
+        let is_over = now.saturating_sub(self.adopted_at) > LONGEST_REQUEST;
+        if is_over || asked_at >= self.adopted_at + REPORT_LAG {
+            self.release_adopted(|adapter| !is_over && report.is_busy(adapter));
         }
     }
 
-    fn release_adopted(&mut self) {
-        for ticket in std::mem::take(&mut self.adopted) {
+    /// Releases the adapters that were held for a previous owner's work, but for those still busy.
+    fn release_adopted(&mut self, is_busy: impl Fn(&str) -> bool) {
+        let adopted = std::mem::take(&mut self.adopted);
+        let (kept, idle): (Vec<_>, Vec<_>) =
+            adopted.into_iter().partition(|ticket| is_busy(ticket.adapter()));
+        self.adopted = kept;
+        for ticket in idle {
             let released = self.planner.residency_mut().release(ticket);
             self.count_undone(released);
         }
--- a/crates/tarragon_standin/src/engine.rs
+++ b/crates/tarragon_standin/src/engine.rs
@@ -371,11 +371,14 @@
         return HttpResponse::ServiceUnavailable().finish();
     }
     let inner = engine.lock();
+    let busy: Vec<_> = inner.loaded.iter().filter(|(_, in_use)| **in_use > 0).collect();
+    let busy: Vec<_> = busy.into_iter().map(|(adapter, _)| adapter).collect();
     HttpResponse::Ok().json(serde_json::json!({
         "boot_id": inner.stats.boot_id,
         "running": inner.running,
         "waiting": inner.waiting,
         "loaded": inner.loaded.keys().collect::<Vec<_>>(),
+        "busy": busy,
     }))
 }
 
