--- a/crates/tarragon_standin/src/engine.rs
+++ b/crates/tarragon_standin/src/engine.rs
@@ -142,6 +142,14 @@
         self.lock().down_until.is_some_and(|until| Instant::now() < until)
     }
 
+    /// Refuses an order while the engine is down, or by its fencing number.
+    fn refuse(&self, request: &HttpRequest) -> Option<HttpResponse> {
+        if self.is_down() {
+            return Some(HttpResponse::ServiceUnavailable().finish());
+        }
+        self.check_fence(request)
+    }
+
     /// Checks the fencing number of an order; gives the refusal, if any.
     fn check_fence(&self, request: &HttpRequest) -> Option<HttpResponse> {
         let value = request.headers().get("x-fencing-number")?.to_str().ok()?;
@@ -170,10 +178,7 @@
     order: web::Json<AdapterOrder>,
     engine: Data,
 ) -> HttpResponse {
-    if engine.is_down() {
-        return HttpResponse::ServiceUnavailable().finish();
-    }
-    if let Some(refusal) = engine.check_fence(&request) {
+    if let Some(refusal) = engine.refuse(&request) {
         return refusal;
     }
     let (full, delay_ms, boot_id) = {
@@ -215,10 +220,7 @@
     order: web::Json<AdapterOrder>,
     engine: Data,
 ) -> HttpResponse {
-    if engine.is_down() {
-        return HttpResponse::ServiceUnavailable().finish();
-    }
-    if let Some(refusal) = engine.check_fence(&request) {
+    if let Some(refusal) = engine.refuse(&request) {
         return refusal;
     }
     let mut inner = engine.lock();
@@ -247,10 +249,7 @@
     completion: web::Json<Completion>,
     engine: Data,
 ) -> HttpResponse {
-    if engine.is_down() {
-        return HttpResponse::ServiceUnavailable().finish();
-    }
-    if let Some(refusal) = engine.check_fence(&request) {
+    if let Some(refusal) = engine.refuse(&request) {
         return refusal;
     }
     let id = request.headers().get("x-request-id").and_then(|v| v.to_str().ok());
