Sampling parameters go on to the engine

Cause: an ordinary OpenAI client that names a temperature got 400, since unknown fields are refused. Change: temperature, top_p, penalties, seed and stop are handed on as given; n must be 1. Other fields are refused as before. Test sampling_parameters_reach_the_engine (refused before).

--- a/crates/rail_request/src/work.rs
+++ b/crates/rail_request/src/work.rs
@@ -20,6 +20,8 @@
     pub prompt: String,
     /// Longest answer in tokens.
     pub max_tokens: u32,
+    /// Sampling parameters for the engine, as a JSON object.
+    pub sampling_json: String,
     /// Whether somebody waits for the answer.
     pub urgent: bool,
     /// Whether it may run more than once.
--- a/crates/rail_testfleet/tests/whole_path.rs
+++ b/crates/rail_testfleet/tests/whole_path.rs
@@ -103,6 +103,20 @@
     assert!(ask.is_answered_by(&answer), "{answer:?}");
 }
 
+#[actix_rt::test]
+async fn sampling_parameters_reach_the_engine() {
+    let fleet = TestFleet::start(FleetPlan { engines: 1, ..FleetPlan::default() });
+    let mut ask = Ask::new("llama:a0@v1", 1);
+    ask.fields = json!({"temperature": 0.5, "stop": ["."], "seed": 7, "n": 1});
+    let answer = ask.send(&fleet.caller_url(1)).await;
+    assert!(ask.is_answered_by(&answer), "{answer:?}");
+    assert_eq!(fleet.stats("engine1").await["last_temperature"], 0.5);
+    ask.fields = json!({"n": 2});
+    let answer = ask.send(&fleet.caller_url(1)).await;
+    let expected = Answer::Problem { reason: "invalid_body".to_owned(), ran: "no".to_owned() };
+    assert_eq!(answer, expected);
+}
+
 /// Asks the first host until its gateway answers at all.
 async fn first_answer(fleet: &TestFleet, ask: &Ask) -> Answer {
     loop {
--- a/crates/rail_upstream/src/engine.rs
+++ b/crates/rail_upstream/src/engine.rs
@@ -38,6 +38,9 @@
     pub stream: bool,
     /// Smaller runs first.
     pub priority: i32,
+    /// Sampling parameters.
+    #[serde(flatten)]
+    pub sampling: serde_json::Map<String, serde_json::Value>,
 }
 
 /// One part of a streamed answer.
--- a/crates/tarragon_gateway/src/caller.rs
+++ b/crates/tarragon_gateway/src/caller.rs
@@ -76,6 +76,29 @@
     deadline_ms: Option<u64>,
     #[serde(default = "default_idempotent")]
     idempotent: bool,
+    n: Option<u32>,
+    temperature: Option<f64>,
+    top_p: Option<f64>,
+    presence_penalty: Option<f64>,
+    frequency_penalty: Option<f64>,
+    seed: Option<i64>,
+    stop: Option<Value>,
+}
+
+impl Options {
+    /// Gives the parameters that go to the engine as they are, as JSON text.
+    fn sampling_json(&self) -> String {
+        let parameters = [
+            ("temperature", self.temperature.map(Value::from)),
+            ("top_p", self.top_p.map(Value::from)),
+            ("presence_penalty", self.presence_penalty.map(Value::from)),
+            ("frequency_penalty", self.frequency_penalty.map(Value::from)),
+            ("seed", self.seed.map(Value::from)),
+            ("stop", self.stop.clone()),
+        ];
+        let named = parameters.into_iter().filter_map(|(name, value)| Some((name, value?)));
+        named.collect::<Value>().to_string()
+    }
 }
 
 fn default_idempotent() -> bool {
@@ -209,6 +232,9 @@
     if max_tokens == 0 || max_tokens > LIMIT_MAX_TOKENS {
         return Err(Problem::Body(format!("max_tokens must be 1 to {LIMIT_MAX_TOKENS}")));
     }
+    if options.n.is_some_and(|n| n != 1) {
+        return Err(Problem::Body("n must be 1".to_owned()));
+    }
     let default_deadline = match urgency {
         Urgency::Urgent => URGENT_DEADLINE,
         Urgency::Deferrable => DEFERRABLE_DEADLINE,
@@ -219,6 +245,7 @@
         model: model.clone(),
         prompt: prompt.clone(),
         max_tokens,
+        sampling_json: options.sampling_json(),
         urgent: urgency == Urgency::Urgent,
         idempotent: options.idempotent,
         isolated: false,
--- a/crates/tarragon_scheduler/src/engine/run.rs
+++ b/crates/tarragon_scheduler/src/engine/run.rs
@@ -46,6 +46,8 @@
             max_tokens: self.order.max_tokens,
             stream: true,
             priority: if self.order.urgent { 0 } else { DEFERRABLE_PRIORITY },
+            // The gateway wrote the parameters; an order without any has none.
+            sampling: serde_json::from_str(&self.order.sampling_json).unwrap_or_default(),
         };
         if self.events.send(WorkEvent::Dispatched { width: self.width }).await.is_err() {
             return WorkEvent::Failed(Failed::UnknownOutcome);
--- a/crates/tarragon_standin/src/engine.rs
+++ b/crates/tarragon_standin/src/engine.rs
@@ -71,6 +71,8 @@
     stale_orders_accepted: u64,
     stale_orders_refused: u64,
     cancelled: u64,
+    /// Temperature that the last completion named.
+    last_temperature: Option<f64>,
     crashes: u64,
     /// Sum over steps of the requests in the batch, and the number of steps.
     batch_sum: u64,
@@ -242,6 +244,7 @@
     model: String,
     prompt: String,
     max_tokens: u64,
+    temperature: Option<f64>,
 }
 
 async fn complete(
@@ -261,6 +264,7 @@
         };
         *in_use += 1;
         inner.stats.executions.push(id.clone());
+        inner.stats.last_temperature = completion.temperature;
         let reported = if inner.faults.wrong_version {
             format!("{}-other", completion.model)
         } else {
