Delete the records of ended sessions

Why this makes no two owners: plan_ownership takes an absent session as not live, as a revoked one, so a deletion permits no transfer that the revocation did not. A record is revoked only under the lease's rules, and no renewal succeeds after that. Only a late copy of the first write could create the record anew; a holder that wakes and reads it back now ends, since its renewal number has not grown (is_recreated).

--- a/crates/rail_lease/src/holder.rs
+++ b/crates/rail_lease/src/holder.rs
@@ -140,6 +140,15 @@
         }
     }
 
+    /// Reports whether a record that was read back was created anew after a deletion.
+    ///
+    /// Each renewal raises its number, so another version without a greater number can only come
+    /// from a late copy of the first write.
+    pub fn is_recreated(&self, record: &SessionRecord, version: &str) -> bool {
+        let is_other = self.version.as_deref().is_some_and(|known| known != version);
+        is_other && record.renewals <= self.record.renewals
+    }
+
     /// Records that the call failed.
     pub fn fail(&mut self, effect: CallEffect, now: Duration) {
         let pending = self.pending.take();
--- a/crates/rail_lease/src/lib.rs
+++ b/crates/rail_lease/src/lib.rs
@@ -8,6 +8,7 @@
 //! out. The charts `session.toml` and `ownership.toml` name the states.
 
 pub mod charts;
+pub mod collector;
 pub mod holder;
 pub mod observer;
 pub mod ownership;
@@ -22,6 +23,7 @@
             OwnershipEvent, OwnershipState, SessionEvent, SessionState, ownership_chart,
             session_chart,
         },
+        collector::SessionCollector,
         holder::{CallEffect, ConfirmRequest, HolderCommand, SessionHolder},
         observer::{PledgeRequest, SessionObserver},
         ownership::{OwnershipCommand, plan_ownership},
--- a/crates/rail_lease/tests/holder.rs
+++ b/crates/rail_lease/tests/holder.rs
@@ -63,3 +63,15 @@
     holder.acknowledge(after, "3".to_owned());
     assert!(holder.is_in_force(at(1600)));
 }
+
+#[test]
+fn a_record_created_anew_after_a_deletion_is_told_from_the_own_renewals() {
+    let mut holder = started();
+    let first = holder.record().clone();
+    assert!(!holder.is_recreated(&first, "1"), "the renewal did not take effect");
+    assert!(holder.is_recreated(&first, "9"), "a late copy of the creation");
+    let (renewed, _) = renewal(&mut holder, at(1000));
+    assert!(!holder.is_recreated(&renewed, "2"), "the renewal took effect");
+    holder.acknowledge(renewed, "2".to_owned());
+    assert!(holder.is_recreated(&first, "9"), "a late copy of the creation");
+}
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -5,6 +5,7 @@
 //! the platform is away, [`engine`] runs one owned engine, [`serve`] answers the
 //! calls of peers.
 
+mod collect;
 mod engine;
 mod leaving;
 mod metrics;
--- a/crates/tarragon_scheduler/src/metrics.rs
+++ b/crates/tarragon_scheduler/src/metrics.rs
@@ -29,6 +29,8 @@
     pub stall_ms: Counter,
     /// Session events, by kind.
     pub session_events: Reasons,
+    /// Records of ended sessions deleted.
+    pub collected_sessions: Counter,
     /// Engines owned.
     pub owned_engines: Gauge,
 }
@@ -49,6 +51,8 @@
             stalled: metrics.reasons("scheduler_stalled", "Requests that waited for a load"),
             stall_ms: metrics.counter("scheduler_stall_ms", "Time spent waiting for loads"),
             session_events: metrics.reasons("scheduler_session_events", "Session events"),
+            collected_sessions: metrics
+                .counter("scheduler_collected_sessions", "Records of ended sessions deleted"),
             owned_engines: metrics.gauge("scheduler_owned_engines", "Engines owned"),
         }
     }
--- a/crates/tarragon_scheduler/src/session.rs
+++ b/crates/tarragon_scheduler/src/session.rs
@@ -10,7 +10,7 @@
 use rail_lease::{
     CallEffect, HolderCommand, LeaseTimes, OwnershipCommand, OwnershipRecord, ResourceId,
     SessionHolder, SessionId, SessionObserver, SessionRecord, SessionWitness, choose_witnesses,
-    plan_ownership,
+    collector::REVOKED_RETENTION, plan_ownership,
 };
 use rail_peer::{Gossip, PeerClient};
 use rail_platform::{ConfigFollower, Error, ObjectKind, PlatformClient, WatchCache};
@@ -56,7 +56,7 @@
     closing: Cell<bool>,
     pub(crate) owned: RefCell<BTreeMap<ResourceId, Owned>>,
     leaving: Cell<bool>,
-    platform: PlatformClient,
+    pub(crate) platform: PlatformClient,
     pub(crate) peers: PeerClient,
     pub(crate) config: ConfigFollower,
     pub(crate) sessions: WatchCache,
@@ -104,6 +104,7 @@
             }
         });
         crate::witness::spawn(session.clone());
+        crate::collect::spawn(session.clone(), REVOKED_RETENTION);
         let transfers = session.clone();
         actix_rt::spawn(async move {
             loop {
@@ -236,7 +237,9 @@
         let mut holder = self.state.holder.borrow_mut();
         match read {
             Ok(object) => match serde_json::from_str::<SessionRecord>(&object.value) {
-                Ok(record) if !record.revoked => holder.acknowledge(record, object.version),
+                Ok(record) if !record.revoked && !holder.is_recreated(&record, &object.version) => {
+                    holder.acknowledge(record, object.version);
+                }
                 _ => holder.end(),
             },
             Err(Error::NotFound) => holder.end(),
@@ -251,8 +254,7 @@
 
     async fn tick(&self) {
         let now = self.state.clock.now();
-        let is_current = |cache: &WatchCache| cache.age().is_some_and(|age| age < MAX_COPY_AGE);
-        if !is_current(&self.state.sessions) || !is_current(&self.state.owners) {
+        if !self.has_current_copies() {
             self.state.observer.borrow_mut().restart_waits(now);
             return;
         }
@@ -265,6 +267,12 @@
         self.follow_owners();
     }
 
+    /// Reports whether the local copies of sessions and owners are recent.
+    pub(crate) fn has_current_copies(&self) -> bool {
+        let is_current = |cache: &WatchCache| cache.age().is_some_and(|age| age < MAX_COPY_AGE);
+        is_current(&self.state.sessions) && is_current(&self.state.owners)
+    }
+
     fn observe_sessions(&self, now: Duration) {
         let mut observer = self.state.observer.borrow_mut();
         let objects = self.state.sessions.objects();
@@ -351,7 +359,7 @@
     }
 }
 
-fn session_name(session_id: u64) -> String {
+pub(crate) fn session_name(session_id: u64) -> String {
     format!("session-{session_id:016x}")
 }
 
