--- a/crates/rail_lease/src/collector.rs
+++ b/crates/rail_lease/src/collector.rs
@@ -6,9 +6,6 @@
     time::Duration,
 };
 
-/// Time for which a revoked session's record is kept after a process first saw it revoked.
-pub const REVOKED_RETENTION: Duration = Duration::from_secs(60);
-
 /// Finds revoked sessions whose records nothing names any more.
 ///
 /// A taker treats a deleted session like a revoked one, so a deletion permits no transfer that the
--- a/crates/rail_runtime/src/settings.rs
+++ b/crates/rail_runtime/src/settings.rs
@@ -179,6 +179,9 @@
     /// time for which claims of keyed requests are kept, in milliseconds (3600000)
     #[options(no_short)]
     pub claim_retention_ms: Option<String>,
+    /// time for which records of ended sessions are kept, in milliseconds (60000)
+    #[options(no_short)]
+    pub session_retention_ms: Option<String>,
     /// placement policy: rendezvous, hash-lru, hash-lfu, least-loaded or no-permits
     #[options(no_short)]
     pub policy: Option<String>,
@@ -233,6 +236,8 @@
     pub entry_lifetime: Duration,
     /// Time for which claims of keyed requests are kept.
     pub claim_retention: Duration,
+    /// Time for which records of ended sessions are kept.
+    pub session_retention: Duration,
     /// Name of the placement policy.
     pub policy: String,
     /// Name of the admission policy.
@@ -290,6 +295,8 @@
         let platform: ParsedSocket = reader.required("platform", flags.platform);
         let lifetime_ms = reader.or("entry-lifetime-ms", flags.entry_lifetime_ms, 5000_u64);
         let retention_ms = reader.or("claim-retention-ms", flags.claim_retention_ms, 3_600_000_u64);
+        let session_retention_ms =
+            reader.or("session-retention-ms", flags.session_retention_ms, 60_000_u64);
         let settings = Self {
             host: reader.required("host", flags.host),
             zone: reader.required("zone", flags.zone),
@@ -308,6 +315,7 @@
             heartbeat: Duration::from_millis(heartbeat_ms),
             entry_lifetime: Duration::from_millis(lifetime_ms),
             claim_retention: Duration::from_millis(retention_ms),
+            session_retention: Duration::from_millis(session_retention_ms),
             policy: reader.or("policy", flags.policy, "rendezvous".to_owned()),
             admission: reader.or("admission", flags.admission, "deadline".to_owned()),
             weights: reader.or("weights", flags.weights, "1,1".to_owned()),
--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -90,6 +90,7 @@
         gossip.clone(),
         counters.clone(),
     );
+    collect::spawn(session.clone(), settings.session_retention);
     PermitBroker::spawn(clock, client, session.clone(), config.clone(), counters.clone());
     spawn_exposition(SocketAddr::new(settings.ip, settings.metrics_port), registry)?;
     leaving::spawn(session.clone(), config.clone());
--- a/crates/tarragon_scheduler/src/session.rs
+++ b/crates/tarragon_scheduler/src/session.rs
@@ -10,7 +10,7 @@
 use rail_lease::{
     CallEffect, HolderCommand, LeaseTimes, OwnershipCommand, OwnershipRecord, ResourceId,
     SessionHolder, SessionId, SessionObserver, SessionRecord, SessionWitness, choose_witnesses,
-    collector::REVOKED_RETENTION, plan_ownership,
+    plan_ownership,
 };
 use rail_peer::{Gossip, PeerClient};
 use rail_platform::{ConfigFollower, Error, ObjectKind, PlatformClient, WatchCache};
@@ -104,7 +104,6 @@
             }
         });
         crate::witness::spawn(session.clone());
-        crate::collect::spawn(session.clone(), REVOKED_RETENTION);
         let transfers = session.clone();
         actix_rt::spawn(async move {
             loop {
