Delete configuration segments that no head names

Ruled out: a collector that changes the head's nonce under the same generation; Head::includes counts nonces by generation, so an accepted change would read as not accepted and be applied twice. A repeated write of the same text as a touch: it need not change the version.

Change: a segment's name is never used again once a head drops it (content hash and the attempt's nonce); heads list dropped segments, and an acceptance deletes all but the newest 64. No time is assumed. An attempt that certainly lost deletes what it wrote. read_accepted reads the head again when a segment is missing. Counter admin_collected_segments.

--- a/crates/rail_config/src/segment.rs
+++ b/crates/rail_config/src/segment.rs
@@ -13,6 +13,9 @@
 /// Acceptances that a head remembers.
 const MAX_PREVIOUS_NONCES: usize = 64;
 
+/// Segments that are kept after the last head that named them, for readers of older heads.
+pub const KEPT_RETIRED: usize = 64;
+
 /// Result of joining segments.
 pub type Result<T> = std::result::Result<T, SegmentError>;
 
@@ -36,16 +39,35 @@
     /// Random numbers of the acceptances before it, newest first.
     #[serde(default)]
     pub previous_nonces: Vec<u64>,
+    /// Segments that earlier heads named and that may still be stored, oldest first.
+    #[serde(default)]
+    pub retired: Vec<String>,
 }
 
 impl Head {
-    /// Links a head to the one that it replaces.
+    /// Links a head to the one that it replaces, and names the segments that it has to write.
+    ///
+    /// A segment that the replaced head names keeps its name; every other one gets a name that no
+    /// head had before. So a segment that one head drops is named by none after it.
     pub fn follow(&mut self, replaced: &Self) {
+        for name in &mut self.segments {
+            match replaced.segments.iter().find(|stored| has_content_name(stored, name)) {
+                Some(stored) => name.clone_from(stored),
+                None => *name = format!("{name}-{:016x}", self.nonce),
+            }
+        }
+        let dropped = replaced.segments.iter().filter(|name| !self.segments.contains(name));
+        self.retired = replaced.retired.iter().chain(dropped).cloned().collect();
         let before = replaced.previous_nonces.iter().copied();
         self.previous_nonces =
             std::iter::once(replaced.nonce).chain(before).take(MAX_PREVIOUS_NONCES).collect();
     }
 
+    /// Lists the segments that may be deleted: no later head names them.
+    pub fn deletable(&self) -> &[String] {
+        &self.retired[..self.retired.len().saturating_sub(KEPT_RETIRED)]
+    }
+
     /// Tells whether an acceptance came before this head or is it; unknown when too long ago.
     pub fn includes(&self, generation: Generation, nonce: u64) -> Option<bool> {
         let Some(age) = self.generation.checked_sub(generation) else {
@@ -60,7 +82,7 @@
     }
 }
 
-/// Part of a generation, stored under a name made from its content.
+/// Part of a generation, stored under a name made from its content and its first acceptance.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Segment {
     /// Base models, upstreams and the weight store's budget.
@@ -152,3 +174,13 @@
 pub fn segment_name(text: &str) -> String {
     format!("segment-{:032x}", xxh3_128(text.as_bytes()))
 }
+
+/// Reports whether a stored segment's name belongs to this text.
+pub fn is_name_of(name: &str, text: &str) -> bool {
+    has_content_name(name, &segment_name(text))
+}
+
+fn has_content_name(name: &str, content_name: &str) -> bool {
+    let rest = name.strip_prefix(content_name);
+    rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('-'))
+}
--- a/crates/rail_platform/src/config.rs
+++ b/crates/rail_platform/src/config.rs
@@ -6,7 +6,7 @@
     object::{Object, ObjectKind},
     watch::WatchCache,
 };
-use rail_config::{Fleet, Generation, Head, segment::segment_name};
+use rail_config::{Fleet, Generation, Head, segment::is_name_of};
 use std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
@@ -147,7 +147,7 @@
         }
         let mut texts = self.state.borrow().segments.clone();
         for (name, text) in snapshot.segments {
-            if segment_name(&text) != name {
+            if !is_name_of(&name, &text) {
                 return Err(Error::Unreadable);
             }
             texts.insert(name, text.into());
@@ -168,10 +168,20 @@
     /// # Errors
     /// Any failure of the calls; no object yet reads as the empty generation.
     pub async fn read_accepted(&self) -> Result<(Fleet, Option<Object>)> {
-        match self.client.get(HEAD_NAME).await {
-            Ok(object) => Ok((self.read_fleet(&parse_head(&object)?).await?, Some(object))),
-            Err(Error::NotFound) => Ok((Fleet::default(), None)),
-            Err(error) => Err(error),
+        let mut missed = None;
+        loop {
+            let object = match self.client.get(HEAD_NAME).await {
+                Ok(object) => object,
+                Err(Error::NotFound) => return Ok((Fleet::default(), None)),
+                Err(error) => return Err(error),
+            };
+            match self.read_fleet(&parse_head(&object)?).await {
+                // A segment of a replaced head may be deleted; the newer head has its own.
+                Err(Error::NotFound) if missed.as_ref() != Some(&object.version) => {
+                    missed = Some(object.version);
+                }
+                result => return Ok((result?, Some(object))),
+            }
         }
     }
 
--- a/crates/tarragon_admin/src/accept.rs
+++ b/crates/tarragon_admin/src/accept.rs
@@ -71,6 +71,8 @@
             platform,
             config,
             accepted: metrics.counter("admin_accepted", "Generations accepted"),
+            collected: metrics
+                .counter("admin_collected_segments", "Configuration segments deleted"),
             refused: metrics.reasons("admin_refusals", "Changes not accepted"),
         };
         actix_rt::spawn(async move {
@@ -107,6 +109,7 @@
     platform: PlatformClient,
     config: ConfigFollower,
     accepted: Counter,
+    collected: Counter,
     refused: Reasons,
 }
 
@@ -156,16 +159,46 @@
             None => Head::default(),
         };
         head.follow(&replaced);
-        for segment in segments.iter().filter(|s| !replaced.segments.contains(&s.name)) {
-            self.write_segment(&segment.name, &segment.text).await?;
+        let deleted = self.delete_segments(replaced.deletable()).await;
+        head.retired.retain(|name| !deleted.contains(name));
+        let mut written = Vec::new();
+        for (name, segment) in head.segments.iter().zip(&segments) {
+            if !replaced.segments.contains(name) {
+                self.write_segment(name, &segment.text).await?;
+                written.push(name.clone());
+            }
+        }
+        let is_accepted = self.write_head(&head, object.map(|object| object.version)).await?;
+        if !is_accepted {
+            // No other head names them, and this one can't be accepted any more.
+            self.delete_segments(&written).await;
+        }
+        Ok(is_accepted)
+    }
+
+    /// Deletes segments until a call fails; gives those that are gone.
+    async fn delete_segments(&self, names: &[String]) -> Vec<String> {
+        let mut deleted = Vec::new();
+        for name in names {
+            match self.platform.delete(name).await {
+                Ok(()) => {
+                    self.collected.inc();
+                }
+                Err(PlatformError::NotFound) => {}
+                Err(error) => {
+                    log::debug!("{name} is deleted later: {error}");
+                    break;
+                }
+            }
+            deleted.push(name.clone());
         }
-        self.write_head(&head, object.map(|object| object.version)).await
+        deleted
     }
 
     async fn write_segment(&self, name: &str, text: &str) -> Result<()> {
         let kind = ObjectKind::ConfigSegment;
         let write = Write { kind, name, value: text, expected_version: None };
-        // A segment that stands already has the same content, as its name is made from it.
+        // The name is this attempt's own, so what stands under it is the same text.
         let _settled = self.platform.write_settled(write).await.map_err(Error::Platform)?;
         Ok(())
     }
