--- a/crates/tarragon_scheduler/src/main.rs
+++ b/crates/tarragon_scheduler/src/main.rs
@@ -5,6 +5,7 @@
 //! the platform is away, [`engine`] runs one owned engine, [`serve`] answers the
 //! calls of peers.
 
+mod collect;
 mod engine;
 mod leaving;
 mod metrics;
@@ -89,6 +90,7 @@
         gossip.clone(),
         counters.clone(),
     );
+    collect::spawn(session.clone(), settings.session_retention);
     PermitBroker::spawn(clock, client, session.clone(), config.clone(), counters.clone());
     spawn_exposition(SocketAddr::new(settings.ip, settings.metrics_port), registry)?;
     leaving::spawn(session.clone(), config.clone());
