--- a/crates/tarragon_scheduler/src/collect.rs
+++ b/crates/tarragon_scheduler/src/collect.rs
@@ -37,7 +37,7 @@
             .filter(|(record, _)| is_live(record))
             .map(|(record, _)| record.session_id)
             .collect();
-        let owners = self.stored_owners();
+        let owners = state.stored_owners.borrow_mut().read();
         let named = owners.values().map(|(record, _)| record.session_id).collect();
         let Some((session_id, version)) = collector.due(me, &live, &named, now) else {
             return;
--- a/crates/tarragon_scheduler/src/session.rs
+++ b/crates/tarragon_scheduler/src/session.rs
@@ -328,6 +328,9 @@
         resources.insert(LOAD_BUDGET.to_owned(), String::new());
         let owners = self.state.stored_owners.borrow_mut().read();
         for command in plan_ownership(&me, &live, &resources, &owners) {
+            if !self.is_vacant(&command, &owners).await {
+                continue;
+            }
             let platform = &self.state.platform;
             // The watch brings the result, also of a reply that was lost.
             let result = match command {
@@ -347,6 +350,31 @@
         }
     }
 
+    /// Reports whether what a command takes was given back, or its owner's session has ended.
+    ///
+    /// A session that this process has not seen may be newer than its copy of the sessions, so it
+    /// is read.
+    async fn is_vacant(
+        &self,
+        command: &OwnershipCommand,
+        owners: &BTreeMap<ResourceId, (OwnershipRecord, String)>,
+    ) -> bool {
+        let OwnershipCommand::Take { record, .. } = command else {
+            return true;
+        };
+        let Some((owner, _)) = owners.get(&record.resource) else {
+            return true;
+        };
+        if owner.released || self.state.observer.borrow().is_revoked(owner.session_id) {
+            return true;
+        }
+        match self.state.platform.get(&session_name(owner.session_id)).await {
+            Ok(object) => serde_json::from_str::<SessionRecord>(&object.value)
+                .is_ok_and(|session| session.revoked),
+            Err(error) => matches!(error, Error::NotFound),
+        }
+    }
+
     /// Gives the stored owner of a resource.
     pub fn resource_owner(&self, resource: &str) -> Option<OwnershipRecord> {
         let object = self.state.owners.find(&owner_name(resource))?;
