Log framing and end of upstreams' response bodies

The line of a request names the framing of the last body and how it ended, and a metric counts both.

--- a/crates/rail_upstream/src/lib.rs
+++ b/crates/rail_upstream/src/lib.rs
@@ -9,6 +9,7 @@
 //! reused only after a complete response. [`EventSplitter`] splits a stream into
 //! whole events, after any of which another attempt can resume it.
 
+pub mod body;
 pub mod engine;
 pub mod error;
 pub mod events;
@@ -17,6 +18,7 @@
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
+        body::{BodyEnd, Framing},
         engine::{Completion, EngineClient, LoadReport, StreamPart},
         error::{Error, Result, is_unsent},
         events::EventSplitter,
--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -3,8 +3,9 @@
 //! Dropping a response before its end closes the connection at once, so that
 //! the upstream can stop working on the request.
 
+use crate::body::{BodyEnd, Framing};
 use bytes::Bytes;
-use http::{Request, Response, response::Parts};
+use http::{Method, Request, Response, response::Parts};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
@@ -109,8 +110,10 @@
     /// Status and headers of the response.
     pub head: Parts,
     body: Incoming,
+    framing: Framing,
     connection: Option<PooledConnection>,
-    is_complete: bool,
+    /// How the body ended; `None` until then.
+    end: Option<BodyEnd>,
 }
 
 /// The connection ended before the body was complete, or the body exceeds its size limit.
@@ -235,8 +238,9 @@
     mut connection: PooledConnection,
     request: Request<Full<Bytes>>,
 ) -> std::result::Result<UpstreamResponse, ExchangeError> {
+    let method = request.method().clone();
     match connection.sender.try_send_request(request).await {
-        Ok(response) => Ok(UpstreamResponse::new(response, connection)),
+        Ok(response) => Ok(UpstreamResponse::new(&method, response, connection)),
         Err(mut error) => Err(match error.take_message() {
             Some(request) => ExchangeError::NotSent(Box::new(request)),
             None => ExchangeError::Failed(SendError::Lost),
@@ -245,9 +249,20 @@
 }
 
 impl UpstreamResponse {
-    fn new(response: Response<Incoming>, connection: PooledConnection) -> Self {
+    fn new(method: &Method, response: Response<Incoming>, connection: PooledConnection) -> Self {
         let (head, body) = response.into_parts();
-        Self { head, body, connection: Some(connection), is_complete: false }
+        let framing = Framing::of(method, &head);
+        Self { head, body, framing, connection: Some(connection), end: None }
+    }
+
+    /// Returns how the response marks the end of its body.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
+    /// Returns how the body ended, or `None` if its end was not reached yet.
+    pub fn end(&self) -> Option<BodyEnd> {
+        self.end
     }
 
     /// Waits for the next chunk of the body; returns none at its end.
@@ -258,7 +273,10 @@
         loop {
             match self.body.frame().await {
                 None => {
-                    self.is_complete = true;
+                    self.end = Some(match self.framing {
+                        Framing::UntilClose => BodyEnd::Closed,
+                        Framing::Empty | Framing::Length | Framing::Chunked => BodyEnd::Marked,
+                    });
                     return Ok(None);
                 }
                 Some(Ok(frame)) => {
@@ -268,7 +286,10 @@
                         return Ok(Some(bytes));
                     }
                 }
-                Some(Err(_)) => return Err(IncompleteBody),
+                Some(Err(_)) => {
+                    self.end = Some(BodyEnd::Lost);
+                    return Err(IncompleteBody);
+                }
             }
         }
     }
@@ -293,7 +314,8 @@
     pub fn return_connection(mut self) {
         let Some(connection) = self.connection.take() else { return };
         let closes_connection = header_contains(&self.head, http::header::CONNECTION, "close");
-        if !self.is_complete || closes_connection || connection.sender.is_closed() {
+        let is_complete = self.end == Some(BodyEnd::Marked);
+        if !is_complete || closes_connection || connection.sender.is_closed() {
             return;
         }
         let now = Instant::now();
@@ -304,7 +326,7 @@
     }
 }
 
-fn header_contains(head: &Parts, name: http::header::HeaderName, token: &str) -> bool {
+pub(crate) fn header_contains(head: &Parts, name: http::header::HeaderName, token: &str) -> bool {
     let values = head.headers.get_all(name);
     values
         .iter()
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -131,6 +131,7 @@
         attempts: Cell::new(0),
         queued_ms: Cell::new(0),
         is_end_recorded: Cell::new(false),
+        last_body: Cell::new(None),
         node: Rc::clone(&node),
     };
     node.record_request(&request.service);
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -112,6 +112,12 @@
         first_ms: u64,
         total_ms: u64,
         budget_ms: u64,
+        /// How the body of the upstream's response was framed, if there was one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        framing: Option<&'static str>,
+        /// How that body ended.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        ending: Option<&'static str>,
     },
 }
 
--- a/crates/tarragon_node/src/metrics.rs
+++ b/crates/tarragon_node/src/metrics.rs
@@ -23,6 +23,8 @@
     pub retries_denied: Counter,
     /// Attempts by outcome.
     pub attempts: ReasonCounters,
+    /// Bodies of upstreams' responses by framing and end.
+    pub body_ends: ReasonCounters,
     /// Calls to the store by outcome.
     pub store_calls: ReasonCounters,
     /// Orders to engines by outcome.
@@ -98,6 +100,8 @@
             retries: registry.reason_counters("retries", "Repeated sends by reason"),
             retries_denied: registry
                 .counter("retries_denied", "Repeats that the shared budget did not allow"),
+            body_ends: registry
+                .reason_counters("body_ends", "Bodies of upstreams' responses by framing and end"),
             attempts: registry
                 .reason_counters("attempts", "Attempts at upstreams by how they ended"),
             store_calls: registry.reason_counters("store_calls", "Store calls by outcome"),
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -73,6 +73,7 @@
             let mut upstream_response = self.upstream_response.take()?;
             let deadline = tokio::time::Instant::from_std(self.request.deadline_at);
             let next = tokio::time::timeout_at(deadline, upstream_response.next()).await;
+            self.request.record_body_end(&upstream_response);
             match next {
                 Ok(Ok(Some(bytes))) => {
                     self.upstream_response = Some(upstream_response);
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -11,6 +11,7 @@
 use rail_request::Fingerprint;
 use rail_route::{Route, RouteKind};
 use rail_site::CallerHeaders;
+use rail_upstream::{BodyEnd, Framing, UpstreamResponse};
 use std::{
     cell::Cell,
     rc::Rc,
@@ -50,6 +51,8 @@
     /// Whether the end of the request was logged. If not, dropping the request logs that the caller
     /// left.
     pub is_end_recorded: Cell<bool>,
+    /// Framing and end of the last response body that an upstream sent.
+    pub last_body: Cell<Option<(Framing, BodyEnd)>>,
     /// State of the process, for the log line on drop.
     pub node: SharedNode,
 }
@@ -75,6 +78,14 @@
         self.parsed_headers.model.as_deref().unwrap_or_default()
     }
 
+    /// Records how the body of an upstream's response ended, if it has ended.
+    pub fn record_body_end(&self, response: &UpstreamResponse) {
+        let Some(end) = response.end() else { return };
+        let framing = response.framing();
+        self.last_body.set(Some((framing, end)));
+        self.node.metrics.body_ends.count(&format!("{}_{}", framing.name(), end.name()));
+    }
+
     /// Counts an attempt, and records how long the request waited for the first one.
     pub fn record_attempt(&self) {
         if self.attempts.get() == 0 {
@@ -113,6 +124,7 @@
 pub fn record_request_end(node: &SharedNode, request: &CallerRequest, end: RequestEnd<'_>) {
     request.is_end_recorded.set(true);
     node.metrics.requests.count(end.reason);
+    let last_body = request.last_body.get();
     let event = Event::Request {
         request: &request.parsed_headers.request_id,
         route: &request.route.name,
@@ -126,6 +138,8 @@
         first_ms: end.first_ms,
         total_ms: request.arrived_at.elapsed().as_millis() as u64,
         budget_ms: request.deadline_at.duration_since(request.arrived_at).as_millis() as u64,
+        framing: last_body.map(|(framing, _)| framing.name()),
+        ending: last_body.map(|(_, end)| end.name()),
     };
     if (200..300).contains(&end.status) && end.reason == "answered" {
         let first = Duration::from_millis(end.first_ms);
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -248,7 +248,9 @@
     upstream: &Arc<Upstream>,
     mut response: UpstreamResponse,
 ) -> Result<BufferedResponse, &'static str> {
-    match response.read(MAX_RESPONSE_BYTES).await {
+    let body = response.read(MAX_RESPONSE_BYTES).await;
+    request.record_body_end(&response);
+    match body {
         Ok(body) => {
             let head = response.head.clone();
             response.return_connection();
