Resume a stream again after an engine refused to continue it

A resumable stream whose engine broke off was told to its caller as broken if the engine that should continue it refused once: the refusal counted as an attempt, so with MaxAttempts = 2 none was left, and the engine was excluded. An owner may grant a request a millisecond before the adapter is ready, so such refusals (421) are common after a load.

Attempts that did not run no longer count against MaxAttempts when a stream is resumed, as they do not when it starts, and the refusal is recorded as there: the owner learns that the adapter is absent, and one refusal does not exclude the engine.

--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -61,6 +61,9 @@
     } else {
         Attempt::Withdrawn
     };
+    if matches!(attempt, Attempt::NotRun(_) | Attempt::NotSent | Attempt::Withdrawn) {
+        request.record_not_run();
+    }
     let (outcome, detector_outcome) = match &attempt {
         Attempt::Responded(response) if response.head.status.is_server_error() => {
             ("upstream_failed", Some(AttemptOutcome::Failed))
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -129,6 +129,7 @@
         arrived_at,
         deadline_at: arrived_at + timeout,
         attempts: Cell::new(0),
+        attempts_not_run: Cell::new(0),
         queued_ms: Cell::new(0),
         is_end_recorded: Cell::new(false),
         last_body: Cell::new(None),
--- a/crates/tarragon_node/src/engine_requests.rs
+++ b/crates/tarragon_node/src/engine_requests.rs
@@ -10,6 +10,7 @@
     request::{CallerRequest, InFlight, fail_request, quarantine_response},
 };
 use actix_http::{Response, body::BoxBody};
+use http::StatusCode;
 use rail_place::GrantOutcome;
 use rail_route::{AttemptOutcome, Upstream};
 use std::{sync::Arc, time::Duration};
@@ -67,11 +68,18 @@
     version: Option<u64>,
     resume_after: Option<&str>,
 ) -> Option<StartedResponse> {
-    let mut excluded = vec![failed_engine.to_owned()];
-    while request.attempts.get() < request.route.max_attempts && node.try_retry(&request.service) {
-        let candidates = || engine_grants::candidates(node, request, &excluded);
+    let mut retry_state =
+        RetryState { excluded: vec![failed_engine.to_owned()], ..RetryState::default() };
+    let may_send = || {
+        request.possible_runs() < request.route.max_attempts
+            && request.attempts.get() < MAX_ATTEMPTS
+            && node.try_retry(&request.service)
+    };
+    while may_send() {
+        let candidates = || engine_grants::candidates(node, request, &retry_state.excluded);
         let admission = quarantine::admit(node, request, candidates).await.ok()?;
-        let acquired = engine_grants::acquire_grant(node, request, &excluded, &admission).await;
+        let excluded = &retry_state.excluded;
+        let acquired = engine_grants::acquire_grant(node, request, excluded, &admission).await;
         let (upstream, grant, granted_version) = acquired.ok()?;
         if granted_version != version {
             return None;
@@ -89,13 +97,17 @@
                 });
             }
             Attempt::Responded(_failure) => return None,
-            Attempt::NotRun(_) => grant.release(GrantOutcome::NotReady),
+            Attempt::NotRun(status) => {
+                retry_state.record_refusal(node, request, &upstream, grant, status);
+            }
             Attempt::Lost(_) => {
                 quarantine::record_loss(node, request, &upstream, admission).await;
+                retry_state.excluded.push(upstream.id.clone());
+            }
+            Attempt::NotSent | Attempt::Withdrawn => {
+                retry_state.excluded.push(upstream.id.clone());
             }
-            Attempt::NotSent | Attempt::Withdrawn => {}
         }
-        excluded.push(upstream.id.clone());
     }
     None
 }
@@ -114,9 +126,21 @@
 }
 
 impl RetryState {
-    /// Records that an engine refused a request. A single refusal does not exclude the engine,
-    /// since the owner may have granted the request just before the adapter was ready.
-    fn record_refusal(&mut self, node: &SharedNode, upstream: &Upstream, grant: &Grant) {
+    /// Records that an engine refused a request with this status, and releases the grant. A single
+    /// refusal does not exclude the engine, since the owner may have granted the request just before
+    /// the adapter was ready.
+    fn record_refusal(
+        &mut self,
+        node: &SharedNode,
+        request: &CallerRequest,
+        upstream: &Upstream,
+        grant: Grant,
+        status: StatusCode,
+    ) {
+        let is_absent = status == StatusCode::MISDIRECTED_REQUEST;
+        if is_absent {
+            node.observed_adapters.borrow_mut().remove(&upstream.id, request.model());
+        }
         if self.last_refused_by != upstream.id {
             self.last_refused_by.clone_from(&upstream.id);
             self.consecutive_refusals = 0;
@@ -129,6 +153,7 @@
         if is_assumed || self.consecutive_refusals >= MAX_REFUSALS_PER_ENGINE {
             self.excluded.push(upstream.id.clone());
         }
+        grant.release(if is_absent { GrantOutcome::Absent } else { GrantOutcome::NotReady });
     }
 }
 
@@ -188,14 +213,7 @@
                 "not_sent"
             }
             Attempt::NotRun(status) => {
-                let outcome = if status == http::StatusCode::MISDIRECTED_REQUEST {
-                    node.observed_adapters.borrow_mut().remove(&upstream.id, request.model());
-                    GrantOutcome::Absent
-                } else {
-                    GrantOutcome::NotReady
-                };
-                retry_state.record_refusal(node, &upstream, &grant);
-                grant.release(outcome);
+                retry_state.record_refusal(node, request, &upstream, grant, status);
                 if !node.try_retry(&request.service) {
                     let response = fail_request(
                         node,
@@ -252,7 +270,7 @@
     node: &SharedNode,
     request: &CallerRequest,
     upstream: &Upstream,
-    status: http::StatusCode,
+    status: StatusCode,
 ) {
     if status.is_success() {
         node.observed_adapters.borrow_mut().record(&upstream.id, request.model(), node.now());
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -46,6 +46,8 @@
     pub deadline_at: Instant,
     /// Number of attempts so far.
     pub attempts: Cell<u32>,
+    /// Attempts that did not run, since they were refused or not sent.
+    pub attempts_not_run: Cell<u32>,
     /// Milliseconds from arrival to the first attempt.
     pub queued_ms: Cell<u64>,
     /// Whether the end of the request was logged. If not, dropping the request logs that the caller
@@ -78,6 +80,16 @@
         self.parsed_headers.model.as_deref().unwrap_or_default()
     }
 
+    /// Counts an attempt that did not run at its upstream.
+    pub fn record_not_run(&self) {
+        self.attempts_not_run.set(self.attempts_not_run.get() + 1);
+    }
+
+    /// Returns the number of attempts that may have run.
+    pub fn possible_runs(&self) -> u32 {
+        self.attempts.get() - self.attempts_not_run.get()
+    }
+
     /// Records how the body of an upstream's response ended, if it has ended.
     pub fn record_body_end(&self, response: &UpstreamResponse) {
         let Some(end) = response.end() else { return };
