Tell broken answers apart from whole ones in one place, and claim no more than is known

Cause: any end of a body counted as its end. A body without a length and without chunks ends with its connection, which also ends when the upstream breaks off; the relay then passed on the half event and its own last chunk.

A stream that ends within an event is broken off in any framing, so it counts as a loss, and is resumed where the route allows it. Where only the end of the connection ends a body and nothing contradicts it, the caller's answer ends with its connection too, so that it claims no more; if it then turns out to be broken, the caller's connection is reset. That holds for callers of HTTP/1.0 as well, who saw every broken stream as complete. A JSON document proves itself; a cut one is no answer. A stream with a length may be resumed: its length is not passed on.

--- a/crates/rail_upstream/src/body.rs
+++ b/crates/rail_upstream/src/body.rs
@@ -1,4 +1,5 @@
-//! How response bodies are framed and how they end.
+//! Decides whether a response body is whole, from its framing, how it ended and, for a stream of
+//! events, where.
 
 use http::{
     Method, StatusCode,
@@ -57,6 +58,8 @@
     Closed,
     /// The connection was reset, or ended before the end that the framing marks.
     Lost,
+    /// The reader stopped because the body, or one event of it, exceeded its size limit.
+    TooLarge,
 }
 
 impl BodyEnd {
@@ -66,6 +69,59 @@
             Self::Marked => "marked",
             Self::Closed => "closed",
             Self::Lost => "lost",
+            Self::TooLarge => "too_large",
+        }
+    }
+}
+
+/// What the content of a body says about its completeness.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyContent {
+    /// Bytes whose meaning is not known.
+    Opaque,
+    /// A stream of events that has no event yet.
+    NoEvents,
+    /// A stream that ended after an event.
+    WholeEvents,
+    /// A stream that ended within an event.
+    CutEvent,
+    /// A stream or document that is complete in itself, such as one with a final event.
+    SelfContained,
+    /// A stream or document that lacks the end that it must have.
+    Unfinished,
+}
+
+/// What is known about a body that has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Completeness {
+    /// The body is complete.
+    Whole,
+    /// The end of the connection is the only sign that the body is complete. It also ends so when
+    /// the upstream's process ends.
+    Unproven,
+    /// The body is not complete.
+    BrokenOff,
+}
+
+impl Completeness {
+    /// Decides whether a body is complete.
+    pub fn of(end: BodyEnd, content: BodyContent) -> Self {
+        match (end, content) {
+            (_, BodyContent::SelfContained) => Self::Whole,
+            (_, BodyContent::CutEvent | BodyContent::Unfinished)
+            | (BodyEnd::Lost | BodyEnd::TooLarge, _)
+            | (BodyEnd::Closed, BodyContent::NoEvents) => Self::BrokenOff,
+            (BodyEnd::Closed, BodyContent::Opaque | BodyContent::WholeEvents) => Self::Unproven,
+            (BodyEnd::Marked, _) => Self::Whole,
+        }
+    }
+
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Unproven => "unproven",
+            Self::BrokenOff => "broken_off",
         }
     }
 }
--- a/crates/rail_upstream/src/lib.rs
+++ b/crates/rail_upstream/src/lib.rs
@@ -18,10 +18,10 @@
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
-        body::{BodyEnd, Framing},
+        body::{BodyContent, BodyEnd, Completeness, Framing},
         engine::{Completion, EngineClient, LoadReport, StreamPart},
         error::{Error, Result, is_unsent},
-        events::EventSplitter,
+        events::{EventSplitter, EventTooLarge},
         pool::{ConnectionPool, ConnectionTimeouts, SendError, UpstreamResponse},
     };
 }
--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -3,7 +3,7 @@
 //! Dropping a response before its end closes the connection at once, so that
 //! the upstream can stop working on the request.
 
-use crate::body::{BodyEnd, Framing};
+use crate::body::{BodyContent, BodyEnd, Completeness, Framing};
 use bytes::Bytes;
 use http::{Method, Request, Response, response::Parts};
 use http_body_util::{BodyExt, Full};
@@ -265,6 +265,17 @@
         self.end
     }
 
+    /// Decides whether the body is complete; before its end it is not.
+    pub fn completeness(&self, content: BodyContent) -> Completeness {
+        self.end.map_or(Completeness::BrokenOff, |end| Completeness::of(end, content))
+    }
+
+    /// Closes the connection, since the body exceeds a size limit of its reader.
+    pub fn reject_as_too_large(&mut self) {
+        self.end = Some(BodyEnd::TooLarge);
+        self.connection = None;
+    }
+
     /// Waits for the next chunk of the body; returns none at its end.
     ///
     /// # Errors
@@ -302,6 +313,7 @@
         let mut body = Vec::new();
         while let Some(chunk) = self.next().await? {
             if body.len() + chunk.len() > max_bytes {
+                self.reject_as_too_large();
                 return Err(IncompleteBody);
             }
             body.extend_from_slice(&chunk);
@@ -309,6 +321,27 @@
         Ok(Bytes::from(body))
     }
 
+    /// Reads a JSON document, at most `max_bytes`. The document itself shows whether it is
+    /// complete if the framing does not.
+    ///
+    /// # Errors
+    /// [`IncompleteBody`] when the document ended early or is larger than `max_bytes`.
+    pub async fn read_json(
+        &mut self,
+        max_bytes: usize,
+    ) -> std::result::Result<Bytes, IncompleteBody> {
+        let body = self.read(max_bytes).await?;
+        let content = match self.completeness(BodyContent::Opaque) {
+            Completeness::Whole => return Ok(body),
+            Completeness::Unproven if is_json(&body) => BodyContent::SelfContained,
+            Completeness::Unproven | Completeness::BrokenOff => BodyContent::Unfinished,
+        };
+        match self.completeness(content) {
+            Completeness::Whole => Ok(body),
+            Completeness::Unproven | Completeness::BrokenOff => Err(IncompleteBody),
+        }
+    }
+
     /// Returns the connection to the pool for further requests; closes it instead if the
     /// body was not read to its end or the upstream closes the connection.
     pub fn return_connection(mut self) {
@@ -326,6 +359,10 @@
     }
 }
 
+fn is_json(body: &[u8]) -> bool {
+    serde_json::from_slice::<serde::de::IgnoredAny>(body).is_ok()
+}
+
 pub(crate) fn header_contains(head: &Parts, name: http::header::HeaderName, token: &str) -> bool {
     let values = head.headers.get_all(name);
     values
--- a/crates/tarragon_node/src/engines.rs
+++ b/crates/tarragon_node/src/engines.rs
@@ -473,7 +473,7 @@
     let request = report_request(&address.to_string());
     let exchange = async {
         let mut response = node.links.send(address, request, MAX_CONNECTION_IDLE).await.ok()?;
-        let body = response.read(MAX_REPORT_BYTES).await.ok()?;
+        let body = response.read_json(MAX_REPORT_BYTES).await.ok()?;
         let report = decode_report(&body).ok()?;
         response.return_connection();
         Some(report)
--- a/crates/tarragon_node/src/listen.rs
+++ b/crates/tarragon_node/src/listen.rs
@@ -3,10 +3,11 @@
 //! `actix-http` is used directly, without `actix-web`: connections then stay on this thread, can't
 //! be half closed, and end as soon as the caller disconnects.
 
-use actix_http::{HttpService, Request, Response, body::BoxBody};
+use crate::caller_connection::CallerConnection;
+use actix_http::{Extensions, HttpService, Request, Response, body::BoxBody};
 use actix_service::{Service, ServiceFactory, fn_service};
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket};
 
 /// Connections that may wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1024;
@@ -53,11 +54,14 @@
             let response = handler(request);
             async move { Ok::<_, Infallible>(response.await) }
         });
-        let factory = HttpService::<TcpStream, _, _>::build()
+        let factory = HttpService::<CallerConnection, _, _>::build()
             .keep_alive(current.idle)
             .client_request_timeout(current.request_head)
             .client_disconnect_timeout(CLOSE_TIMEOUT)
             .h1_allow_half_closed(false)
+            .on_connect_ext(|connection: &CallerConnection, data: &mut Extensions| {
+                data.insert(connection.reset_handle());
+            })
             .h1(service);
         let Ok(connections) = factory.new_service(()).await else {
             return Err(std::io::Error::other(
@@ -74,7 +78,7 @@
             // Where the system lacks these options, the callers' own timeouts still apply.
             let _unsupported = stream.set_nodelay(true);
             let _unsupported = socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT));
-            let connection = connections.call((stream, Some(peer)));
+            let connection = connections.call((CallerConnection::new(stream), Some(peer)));
             actix_rt::spawn(async move {
                 // The caller disconnected or sent a malformed request, to which `actix-http` has
                 // responded.
--- a/crates/tarragon_node/src/metrics.rs
+++ b/crates/tarragon_node/src/metrics.rs
@@ -23,7 +23,7 @@
     pub retries_denied: Counter,
     /// Attempts by outcome.
     pub attempts: ReasonCounters,
-    /// Bodies of upstreams' responses by framing and end.
+    /// Bodies of upstreams' responses by framing, end and completeness.
     pub body_ends: ReasonCounters,
     /// Calls to the store by outcome.
     pub store_calls: ReasonCounters,
@@ -100,8 +100,10 @@
             retries: registry.reason_counters("retries", "Repeated sends by reason"),
             retries_denied: registry
                 .counter("retries_denied", "Repeats that the shared budget did not allow"),
-            body_ends: registry
-                .reason_counters("body_ends", "Bodies of upstreams' responses by framing and end"),
+            body_ends: registry.reason_counters(
+                "body_ends",
+                "Bodies of upstreams' responses by framing, end and completeness",
+            ),
             attempts: registry
                 .reason_counters("attempts", "Attempts at upstreams by how they ended"),
             store_calls: registry.reason_counters("store_calls", "Store calls by outcome"),
--- a/crates/tarragon_node/src/quarantine.rs
+++ b/crates/tarragon_node/src/quarantine.rs
@@ -11,7 +11,6 @@
     request::CallerRequest,
     upstream_ends::{self, Verdict},
 };
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use rail_peer::{PeerReply, PeerRequest, ReplySender, ReplyStream, TrialReply, TrialRequest};
 use rail_place::rank_engines;
 use rail_request::{
@@ -343,14 +342,6 @@
     }
 }
 
-/// Returns whether a complete response proves that the upstream ran the request to its end. Without
-/// a length, a response that an ending upstream cut off looks complete too.
-pub fn is_proof_of_completion(head: &http::response::Parts) -> bool {
-    let has_length = |name: http::HeaderName| head.headers.contains_key(name);
-    let is_framed = has_length(CONTENT_LENGTH) || has_length(TRANSFER_ENCODING);
-    head.status.is_success() && is_framed
-}
-
 /// Records that an upstream ran a request to its end.
 pub fn record_completion(node: &SharedNode, request: &CallerRequest, admission: Admission) {
     let now_ms = now_ms(node);
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -15,11 +15,14 @@
 };
 use bytes::Bytes;
 use futures_util::stream;
-use http::header::CONTENT_LENGTH;
+use http::header::{CONTENT_TYPE, HeaderValue};
 use rail_route::{AttemptOutcome, RouteKind, Upstream};
-use rail_upstream::{EventSplitter, UpstreamResponse};
+use rail_upstream::{BodyContent, Completeness, EventSplitter, Framing, UpstreamResponse};
 use std::{sync::Arc, time::Instant};
 
+/// Largest response in bytes.
+const MAX_BODY_BYTES: usize = 32 << 20;
+
 /// The response ended early. Closes the caller's connection, so that the caller notices.
 #[derive(Debug, Clone, Copy, thiserror::Error)]
 #[error("engine response ended before it was complete")]
@@ -32,9 +35,14 @@
     upstream: Arc<Upstream>,
     upstream_response: Option<UpstreamResponse>,
     status: u16,
-    /// Splits the response into events if another engine may resume it; `None` passes bytes
-    /// through.
+    /// Splits a stream into events; `None` passes bytes through.
     event_splitter: Option<EventSplitter>,
+    /// Whether another engine may resume the response.
+    is_resumable: bool,
+    /// Whether only the end of the caller's connection ends the answer.
+    ends_with_connection: bool,
+    /// Bytes received from upstreams.
+    body_bytes: usize,
     first_ms: Option<u64>,
     last_part_at: Option<Instant>,
     version: Option<u64>,
@@ -72,61 +80,95 @@
         loop {
             let mut upstream_response = self.upstream_response.take()?;
             let deadline = tokio::time::Instant::from_std(self.request.deadline_at);
-            let next = tokio::time::timeout_at(deadline, upstream_response.next()).await;
-            self.request.record_body_end(&upstream_response);
-            match next {
-                Ok(Ok(Some(bytes))) => {
-                    self.upstream_response = Some(upstream_response);
-                    let part = match &mut self.event_splitter {
-                        Some(event_splitter) => event_splitter.push(&bytes),
-                        None => bytes,
-                    };
-                    if part.is_empty() {
+            let read = self.read_part(&mut upstream_response);
+            let Ok(part) = tokio::time::timeout_at(deadline, read).await else {
+                return Some((Err(self.truncate("late_stream")), self));
+            };
+            if let Some(part) = part {
+                self.upstream_response = Some(upstream_response);
+                if part.is_empty() {
+                    continue;
+                }
+                self.record_part();
+                return Some((Ok(part), self));
+            }
+            let content =
+                self.event_splitter.as_ref().map_or(BodyContent::Opaque, EventSplitter::content);
+            match self.request.judge_body(&upstream_response, content) {
+                Completeness::BrokenOff => {
+                    drop(upstream_response);
+                    if self.replace_broken().await {
                         continue;
                     }
-                    self.record_part();
-                    return Some((Ok(part), self));
+                    return Some((Err(self.truncate("broken_off")), self));
                 }
-                Ok(Ok(None)) => {
-                    if quarantine::is_proof_of_completion(&upstream_response.head) {
-                        let admission = std::mem::take(&mut self.admission);
-                        quarantine::record_completion(&self.node, &self.request, admission);
-                    }
-                    upstream_response.return_connection();
-                    let remaining_bytes =
-                        self.event_splitter.as_mut().map(EventSplitter::finish).unwrap_or_default();
-                    let reason = if self.status < 300 { "answered" } else { "upstream_status" };
-                    self.record_end(reason, self.status);
+                // The answer to the caller began with a framing that would claim completeness.
+                Completeness::Unproven if !self.ends_with_connection => {
+                    return Some((Err(self.truncate("unproven_end")), self));
+                }
+                completeness @ (Completeness::Whole | Completeness::Unproven) => {
+                    let remaining_bytes = self.finish(upstream_response, completeness);
                     // `self.upstream_response` is empty now, so the next call ends the stream.
                     return (!remaining_bytes.is_empty()).then_some((Ok(remaining_bytes), self));
                 }
-                Ok(Err(_broken)) => {
-                    let (node, request) = (&self.node, &self.request);
-                    attempt::record_outcome(
-                        node,
-                        request,
-                        &self.upstream,
-                        AttemptOutcome::Failed,
-                        "broken_off",
-                    );
-                    let admission = std::mem::take(&mut self.admission);
-                    quarantine::record_loss(node, request, &self.upstream, admission).await;
-                    if self.resume().await {
-                        continue;
-                    }
-                    self.record_end("broken_off", 0);
-                    return Some((Err(ResponseTruncated), self));
-                }
-                Err(_) => {
-                    self.record_end("late_stream", 0);
-                    return Some((Err(ResponseTruncated), self));
-                }
             }
         }
     }
 
+    /// Reads the next part of the body, which is empty if no event is complete yet. Returns `None`
+    /// at the end of the body, also if it exceeds a size limit.
+    async fn read_part(&mut self, upstream_response: &mut UpstreamResponse) -> Option<Bytes> {
+        let bytes = upstream_response.next().await.ok().flatten()?;
+        self.body_bytes += bytes.len();
+        let part = match &mut self.event_splitter {
+            Some(event_splitter) => event_splitter.push(&bytes).ok(),
+            None => Some(bytes),
+        };
+        if part.is_none() || self.body_bytes > MAX_BODY_BYTES {
+            upstream_response.reject_as_too_large();
+            return None;
+        }
+        part
+    }
+
+    /// Records a whole response and returns the bytes after its last event.
+    fn finish(&mut self, upstream_response: UpstreamResponse, completeness: Completeness) -> Bytes {
+        let is_success = upstream_response.head.status.is_success();
+        if is_success && completeness == Completeness::Whole {
+            let admission = std::mem::take(&mut self.admission);
+            quarantine::record_completion(&self.node, &self.request, admission);
+        }
+        upstream_response.return_connection();
+        let reason = if self.status < 300 { "answered" } else { "upstream_status" };
+        self.record_end(reason, self.status);
+        self.event_splitter.as_mut().map(EventSplitter::finish).unwrap_or_default()
+    }
+
+    /// Records a response that broke off, and tries to resume it on another engine.
+    async fn replace_broken(&mut self) -> bool {
+        let (node, request) = (&self.node, &self.request);
+        let outcome = AttemptOutcome::Failed;
+        attempt::record_outcome(node, request, &self.upstream, outcome, "broken_off");
+        let admission = std::mem::take(&mut self.admission);
+        quarantine::record_loss(node, request, &self.upstream, admission).await;
+        self.resume().await
+    }
+
+    /// Records the end of an incomplete response. Where only the end of the connection would end
+    /// it, a reset shows the caller that it is incomplete.
+    fn truncate(&self, reason: &str) -> ResponseTruncated {
+        if self.ends_with_connection {
+            self.request.connection_reset.request();
+        }
+        self.record_end(reason, 0);
+        ResponseTruncated
+    }
+
     /// Tries to resume the stream on another engine after the last event that was forwarded.
     async fn resume(&mut self) -> bool {
+        if !self.is_resumable {
+            return false;
+        }
         let Some(event_splitter) = &mut self.event_splitter else { return false };
         let Ok(last_event) = event_splitter.resume() else { return false };
         let caller_event = self.request.parsed_headers.last_event_id.as_deref();
@@ -171,8 +213,14 @@
     let StartedResponse { upstream, grant, admission, version, upstream_response } =
         started_response;
     let mut response = reply::start_response(&upstream_response.head, node.is_stopping.get());
+    let is_event_stream = is_event_stream(&request, &upstream_response);
+    let ends_with_connection =
+        request.is_http10 || upstream_response.framing() == Framing::UntilClose;
     let relay = Relay {
-        event_splitter: can_resume(&request, &upstream_response).then(EventSplitter::default),
+        event_splitter: is_event_stream.then(EventSplitter::default),
+        is_resumable: request.route.kind == RouteKind::Stream { resumable: true },
+        ends_with_connection,
+        body_bytes: 0,
         node,
         request,
         upstream,
@@ -186,13 +234,19 @@
         _in_flight: in_flight,
     };
     let body = BodyStream::new(stream::unfold(relay, Relay::next));
-    response.body(BoxBody::new(body)).map_into_boxed_body()
+    if ends_with_connection {
+        reply::end_with_connection(&mut response, body)
+    } else {
+        response.body(BoxBody::new(body)).map_into_boxed_body()
+    }
 }
 
-/// Returns whether another engine may resume the response. With a `content-length` header it may
-/// not, since a resumed response can have another length.
-fn can_resume(request: &CallerRequest, upstream_response: &UpstreamResponse) -> bool {
-    request.route.kind == RouteKind::Stream { resumable: true }
-        && upstream_response.head.status.is_success()
-        && !upstream_response.head.headers.contains_key(CONTENT_LENGTH)
+/// Returns whether a response consists of events. A success on a route for streams does so unless
+/// it states another type.
+fn is_event_stream(request: &CallerRequest, upstream_response: &UpstreamResponse) -> bool {
+    let head = &upstream_response.head;
+    match head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes) {
+        Some(content_type) => content_type.starts_with(b"text/event-stream"),
+        None => head.status.is_success() && matches!(request.route.kind, RouteKind::Stream { .. }),
+    }
 }
--- a/crates/tarragon_node/src/reply.rs
+++ b/crates/tarragon_node/src/reply.rs
@@ -1,9 +1,13 @@
 //! Responses to callers.
 
-use actix_http::{Response, ResponseBuilder, StatusCode, body::BoxBody};
+use actix_http::{
+    Response, ResponseBuilder, StatusCode,
+    body::{BodyStream, BoxBody, MessageBody},
+};
 use bytes::Bytes;
+use futures_util::stream;
 use rail_site::headers::caller_response_headers;
-use std::time::Duration;
+use std::{convert::Infallible, time::Duration};
 
 /// Lower bound of every `retry-after` header.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -113,3 +117,20 @@
     }
     response
 }
+
+/// Completes a response with a body that ends with the connection, which claims nothing about its
+/// completeness.
+pub fn end_with_connection(
+    response: &mut ResponseBuilder,
+    body: impl MessageBody + 'static,
+) -> Response<BoxBody> {
+    response.force_close();
+    let mut response = response.body(BoxBody::new(body)).map_into_boxed_body();
+    response.head_mut().no_chunking(true);
+    response
+}
+
+/// Returns a body without a stated length.
+pub fn body_without_length(body: Bytes) -> impl MessageBody {
+    BodyStream::new(stream::iter([Ok::<_, Infallible>(body)]))
+}
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -1,6 +1,7 @@
 //! A caller's request while it is served, and how it ends.
 
 use crate::{
+    caller_connection::ConnectionReset,
     events::Event,
     node::SharedNode,
     quarantine::Refusal,
@@ -11,7 +12,7 @@
 use rail_request::Fingerprint;
 use rail_route::{Route, RouteKind};
 use rail_site::CallerHeaders;
-use rail_upstream::{BodyEnd, Framing, UpstreamResponse};
+use rail_upstream::{BodyContent, BodyEnd, Completeness, Framing, UpstreamResponse};
 use std::{
     cell::Cell,
     rc::Rc,
@@ -53,6 +54,11 @@
     /// Whether the end of the request was logged. If not, dropping the request logs that the caller
     /// left.
     pub is_end_recorded: Cell<bool>,
+    /// Whether the caller's protocol version has no chunks, so that an answer without a stated
+    /// length ends with the connection.
+    pub is_http10: bool,
+    /// Ends the caller's connection with a reset.
+    pub connection_reset: ConnectionReset,
     /// Framing and end of the last response body that an upstream sent.
     pub last_body: Cell<Option<(Framing, BodyEnd)>>,
     /// State of the process, for the log line on drop.
@@ -90,12 +96,16 @@
         self.attempts.get() - self.attempts_not_run.get()
     }
 
-    /// Records how the body of an upstream's response ended, if it has ended.
-    pub fn record_body_end(&self, response: &UpstreamResponse) {
-        let Some(end) = response.end() else { return };
-        let framing = response.framing();
-        self.last_body.set(Some((framing, end)));
-        self.node.metrics.body_ends.count(&format!("{}_{}", framing.name(), end.name()));
+    /// Decides whether the body of an upstream's response is complete, and records how it ended.
+    pub fn judge_body(&self, response: &UpstreamResponse, content: BodyContent) -> Completeness {
+        let completeness = response.completeness(content);
+        if let Some(end) = response.end() {
+            let framing = response.framing();
+            self.last_body.set(Some((framing, end)));
+            let label = format!("{}_{}_{}", framing.name(), end.name(), completeness.name());
+            self.node.metrics.body_ends.count(&label);
+        }
+        completeness
     }
 
     /// Counts an attempt, and records how long the request waited for the first one.
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -12,7 +12,7 @@
 use actix_http::{Response, body::BoxBody};
 use bytes::Bytes;
 use rail_route::{AttemptOutcome, Upstream, UpstreamId, choose_instance};
-use rail_upstream::UpstreamResponse;
+use rail_upstream::{BodyContent, Completeness, UpstreamResponse};
 use std::{sync::Arc, time::Duration};
 
 /// Largest response in bytes. Responses are buffered completely, so that a request can be retried
@@ -98,7 +98,7 @@
             Attempt::Responded(response) => {
                 match buffer_response(node, request, &upstream, *response).await {
                     Ok(buffered) if !should_retry_failure(request, retry_state, &buffered) => {
-                        if quarantine::is_proof_of_completion(&buffered.head) {
+                        if buffered.is_proof_of_completion() {
                             quarantine::record_completion(node, request, admission);
                         }
                         return buffered.into_response(node, request, &upstream);
@@ -222,9 +222,16 @@
 struct BufferedResponse {
     head: http::response::Parts,
     body: Bytes,
+    /// Never [`Completeness::BrokenOff`].
+    completeness: Completeness,
 }
 
 impl BufferedResponse {
+    /// Returns whether the response proves that the upstream ran the request to its end.
+    fn is_proof_of_completion(&self) -> bool {
+        self.head.status.is_success() && self.completeness == Completeness::Whole
+    }
+
     fn into_response(
         self,
         node: &SharedNode,
@@ -237,11 +244,16 @@
         let end = RequestEnd { status: status.as_u16(), reason, upstream: &upstream.id, first_ms };
         record_request_end(node, request, end);
         let mut response = reply::start_response(&self.head, node.is_stopping.get());
-        response.body(BoxBody::new(self.body)).map_into_boxed_body()
+        match self.completeness {
+            Completeness::Whole => response.body(BoxBody::new(self.body)).map_into_boxed_body(),
+            Completeness::Unproven | Completeness::BrokenOff => {
+                reply::end_with_connection(&mut response, reply::body_without_length(self.body))
+            }
+        }
     }
 }
 
-/// Reads the whole response, and records a failed attempt if it breaks off.
+/// Reads the response to its end, and records a failed attempt if it breaks off.
 async fn buffer_response(
     node: &SharedNode,
     request: &CallerRequest,
@@ -249,14 +261,13 @@
     mut response: UpstreamResponse,
 ) -> Result<BufferedResponse, &'static str> {
     let body = response.read(MAX_RESPONSE_BYTES).await;
-    request.record_body_end(&response);
-    match body {
-        Ok(body) => {
+    match (body, request.judge_body(&response, BodyContent::Opaque)) {
+        (Ok(body), completeness @ (Completeness::Whole | Completeness::Unproven)) => {
             let head = response.head.clone();
             response.return_connection();
-            Ok(BufferedResponse { head, body })
+            Ok(BufferedResponse { head, body, completeness })
         }
-        Err(_broken) => {
+        (Err(_), _) | (_, Completeness::BrokenOff) => {
             attempt::record_outcome(node, request, upstream, AttemptOutcome::Failed, "broken_off");
             Err("broken_off")
         }
