A broken answer counts as one failure, not as a success and a failure

The arrival of a response head counted as an answer in the outlier detector and its breaking off as a failure, so an upstream of which every answer broke off had a failure rate of 0.556 at most, at the threshold of 0.55: it took 11 broken answers in a row to eject it, where any other loss takes 4. The head now counts only as a sign that the upstream is reachable; the end of the body counts as an answer or a failure. A head no longer ends an ejection.

--- a/crates/rail_route/src/outlier.rs
+++ b/crates/rail_route/src/outlier.rs
@@ -19,6 +19,8 @@
 /// Result of an attempt, as far as it shows whether the upstream works.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptOutcome {
+    /// The head of a response arrived; its body may still break off.
+    Started,
     /// The upstream answered.
     Answered,
     /// The attempt failed after it may have run, or the answer was wrong.
@@ -46,10 +48,17 @@
     /// it.
     pub fn record(&mut self, id: &str, outcome: AttemptOutcome, now: Duration) -> bool {
         let history = self.entries.entry(id.to_owned()).or_default();
-        let failed = outcome != AttemptOutcome::Answered;
-        let newest = if failed { NEWEST_WEIGHT } else { 0.0 };
-        history.failure_rate = history.failure_rate * (1.0 - NEWEST_WEIGHT) + newest;
+        let newest = match outcome {
+            AttemptOutcome::Started => history.failure_rate,
+            AttemptOutcome::Answered => 0.0,
+            AttemptOutcome::Failed | AttemptOutcome::Unreachable => 1.0,
+        };
+        history.failure_rate += NEWEST_WEIGHT * (newest - history.failure_rate);
         match outcome {
+            AttemptOutcome::Started => {
+                history.consecutive_unreachable = 0;
+                return false;
+            }
             AttemptOutcome::Answered => {
                 history.consecutive_unreachable = 0;
                 if history.failure_rate < EJECTION_FAILURE_RATE / 2.0 {
--- a/crates/rail_route/tests/route.rs
+++ b/crates/rail_route/tests/route.rs
@@ -122,6 +122,18 @@
     assert!(!detector.is_ejected("u", ms(1800)));
 }
 
+/// Guards against broken answers that count half, since the arrival of each head made up for them.
+#[test]
+fn an_upstream_whose_answers_break_off_is_ejected_like_one_that_fails() {
+    let mut detector = OutlierDetector::default();
+    let mut breaks_off = |at_ms| {
+        assert!(!detector.record("u", AttemptOutcome::Started, ms(at_ms)));
+        detector.record("u", AttemptOutcome::Failed, ms(at_ms + 5))
+    };
+    let first_ejection = (0..10).position(|n| breaks_off(n * 10));
+    assert_eq!(first_ejection, Some(3));
+}
+
 #[test]
 fn rare_failures_eject_no_upstream() {
     let mut detector = OutlierDetector::default();
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -68,7 +68,7 @@
         Attempt::Responded(response) if response.head.status.is_server_error() => {
             ("upstream_failed", Some(AttemptOutcome::Failed))
         }
-        Attempt::Responded(_) => ("answered", Some(AttemptOutcome::Answered)),
+        Attempt::Responded(_) => ("answered", Some(AttemptOutcome::Started)),
         Attempt::NotRun(_) => ("not_run", None),
         Attempt::Withdrawn => ("withdrawn", None),
         Attempt::NotSent => ("not_sent", Some(AttemptOutcome::Unreachable)),
@@ -123,6 +123,15 @@
     }
 }
 
+/// Records in the outlier detector that a response arrived to its end. The head of a server error
+/// has counted as a failure already.
+pub fn record_answer(node: &SharedNode, upstream: &Upstream, status: StatusCode) {
+    if !status.is_server_error() {
+        let now = node.now();
+        node.outlier_detector.borrow_mut().record(&upstream.id, AttemptOutcome::Answered, now);
+    }
+}
+
 /// Sends the request and checks that the response belongs to it and, if successful, is signed and
 /// not compressed.
 async fn exchange(
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -133,8 +133,9 @@
 
     /// Records a whole response and returns the bytes after its last event.
     fn finish(&mut self, upstream_response: UpstreamResponse, completeness: Completeness) -> Bytes {
-        let is_success = upstream_response.head.status.is_success();
-        if is_success && completeness == Completeness::Whole {
+        let status = upstream_response.head.status;
+        attempt::record_answer(&self.node, &self.upstream, status);
+        if status.is_success() && completeness == Completeness::Whole {
             let admission = std::mem::take(&mut self.admission);
             quarantine::record_completion(&self.node, &self.request, admission);
         }
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -264,6 +264,7 @@
     match (body, request.judge_body(&response, BodyContent::Opaque)) {
         (Ok(body), completeness @ (Completeness::Whole | Completeness::Unproven)) => {
             let head = response.head.clone();
+            attempt::record_answer(node, upstream, head.status);
             response.return_connection();
             Ok(BufferedResponse { head, body, completeness })
         }
