Daemons judge answers of plain services and engines as the node does

What callers saw: with the gateway, an answer of a plain service that broke off at 5 of 8 stated bytes arrived with status 200 and content-length 5, and one without length arrived empty, with length 0; a completion without length had no part at all. Cause: awc ends a truncated body without an error, and takes a body without length and chunks for empty.

Plain services and engines are called through the connection pool of rail_upstream now, whose responses are judged in one place. An answer that nothing proves complete is passed on without a length and is not stored under its key.

--- a/crates/rail_upstream/src/engine.rs
+++ b/crates/rail_upstream/src/engine.rs
@@ -1,16 +1,18 @@
 //! Client for orders, load reports and completions of one engine.
 
-use crate::error::{Error, Result, is_unsent};
-use awc::{
-    Client, ClientResponse, Connector,
-    error::{PayloadError, SendRequestError},
-    http::StatusCode,
+use crate::{
+    error::{Error, Result},
+    events::EventSplitter,
+    pool::{ConnectionPool, ConnectionTimeouts, SendError, UpstreamResponse},
 };
 use bytes::Bytes;
 use eventsource_stream::Eventsource;
-use futures_util::{Stream, StreamExt};
+use futures_util::{Stream, StreamExt, stream};
+use http::{Method, Request, StatusCode, request::Builder};
+use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, pin::Pin, time::Duration};
+use tokio::time::timeout;
 
 /// Header that carries the fencing number of an order.
 pub const FENCE_HEADER: &str = "x-fencing-number";
@@ -22,6 +24,17 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(60);
 /// Timeout for the response head of a resumed stream.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time for which sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+/// Idle time after which a connection is not reused.
+const MAX_IDLE: Duration = Duration::from_secs(4);
+/// Time for which the end of a body that carries nothing more is awaited, so that its connection can
+/// be reused.
+const BODY_END_TIMEOUT: Duration = Duration::from_millis(20);
+/// Maximum size of a load report in bytes.
+const MAX_LOAD_REPORT_BYTES: usize = 2 << 20;
+/// Maximum size of a body that is read only to reuse its connection, in bytes.
+const MAX_DISCARDED_BYTES: usize = 4096;
 /// Data of the event that marks the end of a stream.
 const STREAM_END: &str = "[DONE]";
 
@@ -93,13 +106,13 @@
 /// HTTP client of one engine.
 #[derive(Clone)]
 pub struct EngineClient {
-    http: Client,
-    url: String,
+    connections: ConnectionPool,
+    address: SocketAddr,
 }
 
 impl std::fmt::Debug for EngineClient {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("EngineClient").field("url", &self.url).finish_non_exhaustive()
+        f.debug_struct("EngineClient").field("address", &self.address).finish_non_exhaustive()
     }
 }
 
@@ -122,9 +135,9 @@
 impl EngineClient {
     /// Creates a client of the engine at this address; connections are opened on demand.
     pub fn open(address: SocketAddr) -> Self {
-        let connector = Connector::new().limit(0).timeout(CONNECT_TIMEOUT);
-        let http = Client::builder().connector(connector).timeout(ORDER_TIMEOUT).finish();
-        Self { http, url: format!("http://{address}") }
+        let timeouts =
+            ConnectionTimeouts { connect: CONNECT_TIMEOUT, unacknowledged: UNACKNOWLEDGED_TIMEOUT };
+        Self { connections: ConnectionPool::new(timeouts), address }
     }
 
     /// Orders the engine to load an adapter version.
@@ -148,9 +161,15 @@
     /// # Errors
     /// Fails when the engine can't be reached or its response can't be decoded.
     pub async fn load_report(&self) -> Result<LoadReport> {
-        let request = self.http.get(format!("{}/load", self.url)).timeout(CONNECT_TIMEOUT);
-        let mut response = request.send().await.map_err(|error| convert_send_error(&error))?;
-        response.json().await.map_err(|_error| Error::InvalidResponse)
+        let exchange = async {
+            let mut response =
+                self.send(Method::GET, "/load", |request| request, Bytes::new()).await?;
+            let body = response.read_json(MAX_LOAD_REPORT_BYTES).await;
+            let body = body.map_err(|_broken| Error::InvalidResponse)?;
+            response.return_connection();
+            serde_json::from_slice(&body).map_err(|_error| Error::InvalidResponse)
+        };
+        timeout(CONNECT_TIMEOUT, exchange).await.map_err(|_elapsed| Error::Lost)?
     }
 
     /// Starts a completion and streams its parts.
@@ -163,15 +182,13 @@
         request_id: u128,
         fence: u64,
     ) -> Result<PartStream> {
-        let response = self
-            .http
-            .post(format!("{}/v1/completions", self.url))
-            .insert_header((FENCE_HEADER, fence.to_string()))
-            .insert_header((REQUEST_ID_HEADER, format!("{request_id:032x}")))
-            .timeout(Duration::from_secs(3600))
-            .send_json(completion)
-            .await
-            .map_err(|error| convert_send_error(&error))?;
+        let add_headers = |request: Builder| {
+            request
+                .header(FENCE_HEADER, fence.to_string())
+                .header(REQUEST_ID_HEADER, format!("{request_id:032x}"))
+        };
+        let response =
+            self.send(Method::POST, "/v1/completions", add_headers, encode(completion)?).await?;
         Ok(parse_stream(check_status(response)?))
     }
 
@@ -183,9 +200,10 @@
     pub async fn resume(&self, request_id: u128, received: u64) -> Result<PartStream> {
         let after = received.checked_sub(1).map(|last| format!("&starting_after={last}"));
         let after = after.unwrap_or_default();
-        let url = format!("{}/v1/responses/{request_id:032x}?stream=true{after}", self.url);
-        let response = self.http.get(url).timeout(RESUME_TIMEOUT).send().await;
-        Ok(parse_stream(check_status(response.map_err(|error| convert_send_error(&error))?)?))
+        let path = format!("/v1/responses/{request_id:032x}?stream=true{after}");
+        let sent = self.send(Method::GET, &path, |request| request, Bytes::new());
+        let response = timeout(RESUME_TIMEOUT, sent).await.map_err(|_elapsed| Error::Lost)??;
+        Ok(parse_stream(check_status(response)?))
     }
 
     /// Cancels a completion.
@@ -193,32 +211,57 @@
     /// # Errors
     /// Fails when the engine can't be reached, or refuses or fails the call.
     pub async fn cancel(&self, request_id: u128) -> Result<()> {
-        let url = format!("{}/v1/responses/{request_id:032x}/cancel", self.url);
-        check_status(
-            self.http.post(url).send().await.map_err(|error| convert_send_error(&error))?,
-        )?;
+        let path = format!("/v1/responses/{request_id:032x}/cancel");
+        let sent = self.send(Method::POST, &path, |request| request, Bytes::new());
+        let response = timeout(ORDER_TIMEOUT, sent).await.map_err(|_elapsed| Error::Lost)??;
+        discard_body(check_status(response)?).await;
         Ok(())
     }
 
     async fn order(&self, path: &str, body: &impl Serialize, fence: u64) -> Result<()> {
-        let response = self
-            .http
-            .post(format!("{}{path}", self.url))
-            .insert_header((FENCE_HEADER, fence.to_string()))
-            .send_json(body)
-            .await
-            .map_err(|error| convert_send_error(&error))?;
-        check_status(response)?;
+        let add_headers = |request: Builder| request.header(FENCE_HEADER, fence.to_string());
+        let sent = self.send(Method::POST, path, add_headers, encode(body)?);
+        let response = timeout(ORDER_TIMEOUT, sent).await.map_err(|_elapsed| Error::Lost)??;
+        discard_body(check_status(response)?).await;
         Ok(())
     }
+
+    /// Sends a call and waits for the response head.
+    async fn send(
+        &self,
+        method: Method,
+        path: &str,
+        add_headers: impl FnOnce(Builder) -> Builder,
+        body: Bytes,
+    ) -> Result<UpstreamResponse> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.address.to_string())
+            .header("content-type", "application/json");
+        let request = add_headers(request).body(Full::new(body));
+        let request = request.map_err(|_error| Error::InvalidRequest)?;
+        let sent = self.connections.send(self.address, request, MAX_IDLE).await;
+        sent.map_err(|error| match error {
+            SendError::NotSent => Error::Connect,
+            SendError::Lost => Error::Lost,
+        })
+    }
 }
 
-fn convert_send_error(error: &SendRequestError) -> Error {
-    if is_unsent(error) { Error::Connect } else { Error::Lost }
+fn encode(body: &impl Serialize) -> Result<Bytes> {
+    serde_json::to_vec(body).map(Bytes::from).map_err(|_error| Error::InvalidRequest)
+}
+
+/// Reads a body that carries nothing, so that its connection can be reused.
+async fn discard_body(mut response: UpstreamResponse) {
+    if matches!(timeout(BODY_END_TIMEOUT, response.read(MAX_DISCARDED_BYTES)).await, Ok(Ok(_))) {
+        response.return_connection();
+    }
 }
 
-fn check_status<S>(response: ClientResponse<S>) -> Result<ClientResponse<S>> {
-    match response.status() {
+fn check_status(response: UpstreamResponse) -> Result<UpstreamResponse> {
+    match response.head.status {
         status if status.is_success() => Ok(response),
         StatusCode::PRECONDITION_FAILED => Err(Error::StaleFence),
         status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
@@ -228,21 +271,48 @@
     }
 }
 
-fn parse_stream<S>(response: ClientResponse<S>) -> PartStream
-where
-    S: Stream<Item = std::result::Result<Bytes, PayloadError>> + Unpin + 'static,
-{
-    let response = response.timeout(Duration::from_secs(3600));
-    let events = response.eventsource();
-    Box::pin(events.map(|event| {
-        let event = event.map_err(|_error| Error::Lost)?;
-        if event.data == STREAM_END {
-            return Ok(StreamPart::End);
-        }
-        let offset = event.id.parse().map_err(|_error| Error::InvalidResponse)?;
-        let chunk: Chunk =
-            serde_json::from_str(&event.data).map_err(|_error| Error::InvalidResponse)?;
-        let text = chunk.choices.into_iter().map(|c| c.text).collect();
-        Ok(StreamPart::Token { offset, model: chunk.model, text })
+/// Parses the parts of a completion. Only its end marker ends it; at any other end the last part is
+/// [`Error::Lost`].
+fn parse_stream(response: UpstreamResponse) -> PartStream {
+    let events = Box::pin(whole_events(response).eventsource());
+    Box::pin(stream::unfold(Some(events), |events| async move {
+        let mut events = events?;
+        let part = match events.next().await {
+            Some(Ok(event)) if event.data == STREAM_END => {
+                let _rest = timeout(BODY_END_TIMEOUT, events.next()).await;
+                return Some((Ok(StreamPart::End), None));
+            }
+            Some(Ok(event)) => parse_token(&event.id, &event.data),
+            Some(Err(_)) | None => return Some((Err(Error::Lost), None)),
+        };
+        Some((part, Some(events)))
     }))
 }
+
+fn parse_token(id: &str, data: &str) -> Result<StreamPart> {
+    let offset = id.parse().map_err(|_error| Error::InvalidResponse)?;
+    let chunk: Chunk = serde_json::from_str(data).map_err(|_error| Error::InvalidResponse)?;
+    let text = chunk.choices.into_iter().map(|choice| choice.text).collect();
+    Ok(StreamPart::Token { offset, model: chunk.model, text })
+}
+
+/// Returns the whole events of a response. Its connection is reused if its body ends as its framing
+/// marks.
+fn whole_events(response: UpstreamResponse) -> impl Stream<Item = Result<Bytes>> {
+    let state = Some((response, EventSplitter::default()));
+    stream::unfold(state, |state| async move {
+        let (mut response, mut splitter) = state?;
+        loop {
+            let Ok(Some(bytes)) = response.next().await else {
+                response.return_connection();
+                return None;
+            };
+            match splitter.push(&bytes) {
+                // The parser takes an empty part for the end of the stream.
+                Ok(events) if events.is_empty() => {}
+                Ok(events) => return Some((Ok(events), Some((response, splitter)))),
+                Err(_too_large) => return Some((Err(Error::InvalidResponse), None)),
+            }
+        }
+    })
+}
--- a/crates/rail_upstream/src/error.rs
+++ b/crates/rail_upstream/src/error.rs
@@ -1,7 +1,5 @@
 //! Errors of calls to upstreams.
 
-use awc::error::{ConnectError, SendRequestError};
-
 /// Result of a call to an upstream.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -23,25 +21,17 @@
     /// The connection was lost; the call may have run.
     #[error("connection to the upstream was lost")]
     Lost,
+    /// The call can't be encoded as a request.
+    #[error("invalid request to the upstream")]
+    InvalidRequest,
     /// The response can't be decoded.
     #[error("invalid response from the upstream")]
     InvalidResponse,
 }
 
-/// Reports whether no byte of a request was sent.
-///
-/// A connection that ends before the response counts as sent, although the client library reports
-/// it as a connect error.
-pub fn is_unsent(error: &SendRequestError) -> bool {
-    match error {
-        SendRequestError::Connect(error) => !matches!(error, ConnectError::Disconnected),
-        _ => false,
-    }
-}
-
 impl Error {
     /// Reports whether the call can't have run.
     pub fn cannot_have_run(self) -> bool {
-        matches!(self, Self::Connect | Self::StaleFence | Self::Refused(_))
+        matches!(self, Self::Connect | Self::InvalidRequest | Self::StaleFence | Self::Refused(_))
     }
 }
--- a/crates/rail_upstream/src/lib.rs
+++ b/crates/rail_upstream/src/lib.rs
@@ -20,7 +20,7 @@
     pub use crate::{
         body::{BodyContent, BodyEnd, Completeness, Framing},
         engine::{Completion, EngineClient, LoadReport, StreamPart},
-        error::{Error, Result, is_unsent},
+        error::{Error, Result},
         events::{EventSplitter, EventTooLarge},
         pool::{ConnectionPool, ConnectionTimeouts, SendError, UpstreamResponse},
     };
--- a/crates/tarragon_gateway/src/caller.rs
+++ b/crates/tarragon_gateway/src/caller.rs
@@ -239,7 +239,7 @@
                 ("application/json", completion_json(id, &model, &text, shape).to_string())
             };
             let content_type = Some(content_type.to_owned());
-            Ok(BufferedResponse { status: 200, content_type, body: body.into() })
+            Ok(BufferedResponse { status: 200, content_type, body: body.into(), is_whole: true })
         }
     };
     gateway.run_keyed(keyed_request, work).await.map(HttpResponse::from)
--- a/crates/tarragon_gateway/src/claims.rs
+++ b/crates/tarragon_gateway/src/claims.rs
@@ -6,13 +6,17 @@
 };
 use actix_web::{HttpResponse, http::StatusCode};
 use bytes::Bytes;
+use futures_util::stream;
 use rail_member::Role;
 use rail_platform::{Error, ObjectKind};
 use rail_request::{
     Claim, ClaimCommand, ClaimEvent, ClaimHolder, ClaimRecord, ClaimReply, Fingerprint,
     HolderLiveness, RequestFailure, RequestRefusal, RequestRefusalReason, StoredOutcome,
 };
-use std::time::{Duration, Instant, SystemTime};
+use std::{
+    convert::Infallible,
+    time::{Duration, Instant, SystemTime},
+};
 use tokio::sync::oneshot;
 
 /// Time limit for making a claim.
@@ -61,6 +65,8 @@
     pub content_type: Option<String>,
     /// Response body.
     pub body: Bytes,
+    /// Whether the body is known to be complete.
+    pub is_whole: bool,
 }
 
 impl From<BufferedResponse> for HttpResponse {
@@ -70,7 +76,14 @@
         if let Some(content_type) = buffered.content_type {
             response.insert_header(("content-type", content_type));
         }
-        response.body(buffered.body)
+        if buffered.is_whole {
+            return response.body(buffered.body);
+        }
+        // The end of the connection is then the only end of the answer, as it was at the upstream.
+        let body = stream::iter([Ok::<_, Infallible>(buffered.body)]);
+        let mut response = response.force_close().streaming(body);
+        response.head_mut().no_chunking(true);
+        response
     }
 }
 
@@ -183,6 +196,7 @@
             .await
             .unwrap_or(Err(Problem::Failed(RequestFailure::UnknownOutcome)));
         let event = match &result {
+            Ok(response) if !response.is_whole => ClaimEvent::Ended(StoredOutcome::NotKept),
             Ok(response) => {
                 let content_type = response.content_type.clone();
                 ClaimEvent::Ended(StoredOutcome::from_response(
@@ -318,7 +332,12 @@
     fn reply_to_problem(&self, reply: ClaimReply) -> Problem {
         let problem = match reply {
             ClaimReply::Stored(StoredOutcome::Answered { status, content_type, body }) => {
-                Problem::Stored(BufferedResponse { status, content_type, body: body.into() })
+                Problem::Stored(BufferedResponse {
+                    status,
+                    content_type,
+                    body: body.into(),
+                    is_whole: true,
+                })
             }
             ClaimReply::Stored(StoredOutcome::NotKept) => Problem::AnswerNotKept,
             ClaimReply::Stored(StoredOutcome::Failed(failed)) => Problem::Failed(failed),
--- a/crates/tarragon_gateway/src/services.rs
+++ b/crates/tarragon_gateway/src/services.rs
@@ -8,12 +8,12 @@
 };
 use actix_web::{
     HttpRequest, HttpResponse,
-    http::{Method, StatusCode, header::HeaderValue},
+    http::{Method, header::HeaderValue},
     web,
 };
-use awc::{Client, Connector, error::SendRequestError};
 use bytes::Bytes;
 use futures_util::future::join_all;
+use http_body_util::Full;
 use rail_config::{Upstream, UpstreamKind};
 use rail_platform::ConfigFollower;
 use rail_request::{
@@ -21,9 +21,12 @@
     RetryCause,
 };
 use rail_runtime::{MonotonicClock, metrics::ReasonCounters};
-use rail_upstream::is_unsent;
+use rail_upstream::{
+    BodyContent, Completeness, ConnectionPool, ConnectionTimeouts, SendError, UpstreamResponse,
+};
 use serde::Deserialize;
 use std::{cell::RefCell, rc::Rc, time::Duration};
+use tokio::time::timeout;
 
 /// Time within which a plain service must respond.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
@@ -33,8 +36,14 @@
 const IDEMPOTENT_ATTEMPT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum number of attempts of a call, each at another instance.
 const MAX_ATTEMPTS: usize = 3;
+/// Time for which sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+/// Idle time after which a connection is not reused.
+const MAX_IDLE: Duration = Duration::from_secs(4);
 /// Interval at which instances are polled for their load.
 const LOAD_POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum size of a load report in bytes.
+const MAX_LOAD_REPORT_BYTES: usize = 64 << 10;
 /// Time within which an instance must report its load.
 const LOAD_POLL_TIMEOUT: Duration = Duration::from_secs(1);
 /// Retry delay that is sent to callers after a refusal.
@@ -45,7 +54,7 @@
 /// HTTP client and load balancer for plain services; clones share them.
 #[derive(Clone)]
 pub struct Services {
-    http: Client,
+    connections: ConnectionPool,
     clock: MonotonicClock,
     balancer: Rc<RefCell<LoadBalancer>>,
     ejections: ReasonCounters,
@@ -77,9 +86,10 @@
 impl Services {
     /// Creates the client; `ejections` counts ejected instances by reason.
     pub fn open(ejections: ReasonCounters) -> Self {
-        let connector = Connector::new().limit(0).timeout(CONNECT_TIMEOUT);
-        let http = Client::builder().connector(connector).timeout(CALL_TIMEOUT).finish();
-        Self { http, clock: MonotonicClock::start(), balancer: Rc::default(), ejections }
+        let timeouts =
+            ConnectionTimeouts { connect: CONNECT_TIMEOUT, unacknowledged: UNACKNOWLEDGED_TIMEOUT };
+        let connections = ConnectionPool::new(timeouts);
+        Self { connections, clock: MonotonicClock::start(), balancer: Rc::default(), ejections }
     }
 
     fn start_call(&self, upstream: &str) -> CallGuard {
@@ -102,12 +112,7 @@
 
     async fn poll_load(&self, name: &str, upstream: &Upstream) {
         let in_flight = self.balancer.borrow().in_flight(name);
-        let request = self.http.get(format!("http://{}/load", upstream.address));
-        let report = async {
-            let mut response = request.timeout(LOAD_POLL_TIMEOUT).send().await.ok()?;
-            response.json::<ServiceLoad>().await.ok()
-        };
-        let report = report.await;
+        let report = timeout(LOAD_POLL_TIMEOUT, self.fetch_load(upstream)).await.ok().flatten();
         let mut balancer = self.balancer.borrow_mut();
         match report {
             Some(report) => balancer.record_report(name, report.running, in_flight),
@@ -119,6 +124,17 @@
     }
 }
 
+impl Services {
+    async fn fetch_load(&self, upstream: &Upstream) -> Option<ServiceLoad> {
+        let request = http::Request::get("/load").header("host", upstream.address.to_string());
+        let request = request.body(Full::default()).ok()?;
+        let mut response = self.connections.send(upstream.address, request, MAX_IDLE).await.ok()?;
+        let body = response.read_json(MAX_LOAD_REPORT_BYTES).await.ok()?;
+        response.return_connection();
+        serde_json::from_slice(&body).ok()
+    }
+}
+
 /// Load report of an instance.
 #[derive(Debug, Deserialize)]
 struct ServiceLoad {
@@ -255,29 +271,50 @@
         gateway: &Gateway,
         upstream: &Upstream,
     ) -> Result<BufferedResponse> {
-        let url = format!("http://{}/{}", upstream.address, self.path_and_query);
-        let mut call = gateway.services.http.request(self.method.clone(), url);
+        let request = self.to_request(upstream)?;
+        let attempt_timeout =
+            if self.method.is_idempotent() { IDEMPOTENT_ATTEMPT_TIMEOUT } else { CALL_TIMEOUT };
+        let exchange = async {
+            let sent = gateway.services.connections.send(upstream.address, request, MAX_IDLE).await;
+            read_response(sent.map_err(to_problem)?).await
+        };
+        timeout(attempt_timeout, exchange)
+            .await
+            .map_err(|_elapsed| Problem::Failed(RequestFailure::UnknownOutcome))?
+    }
+
+    fn to_request(&self, upstream: &Upstream) -> Result<http::Request<Full<Bytes>>> {
+        let mut request = http::Request::builder()
+            .method(self.method.as_str())
+            .uri(format!("/{}", self.path_and_query))
+            .header("host", upstream.address.to_string());
         for (name, value) in &self.headers {
-            call = call.insert_header((*name, value.clone()));
-        }
-        if self.method.is_idempotent() {
-            call = call.timeout(IDEMPOTENT_ATTEMPT_TIMEOUT);
-        }
-        let result = call.send_body(self.body.clone()).await;
-        let mut response = result.map_err(|error| to_problem(&error))?;
-        if response.status() == StatusCode::SERVICE_UNAVAILABLE {
-            let reason = RequestRefusalReason::RefusedByUpstream;
-            return Err(RequestRefusal { reason, retry_after: REFUSAL_RETRY_AFTER }.into());
+            request = request.header(*name, value.as_bytes());
         }
-        let body = response
-            .body()
-            .limit(MAX_BODY_BYTES)
-            .await
-            .map_err(|_lost| Problem::Failed(RequestFailure::UnknownOutcome))?;
-        let content_type = response.headers().get("content-type");
-        let content_type = content_type.and_then(|value| Some(value.to_str().ok()?.to_owned()));
-        Ok(BufferedResponse { status: response.status().as_u16(), content_type, body })
+        request
+            .body(Full::new(self.body.clone()))
+            .map_err(|error| Problem::Body(format!("call of a service: {error}")))
+    }
+}
+
+/// Reads the response of an instance to its end.
+async fn read_response(mut response: UpstreamResponse) -> Result<BufferedResponse> {
+    if response.head.status == http::StatusCode::SERVICE_UNAVAILABLE {
+        let reason = RequestRefusalReason::RefusedByUpstream;
+        return Err(RequestRefusal { reason, retry_after: REFUSAL_RETRY_AFTER }.into());
     }
+    let broken = Problem::Failed(RequestFailure::UnknownOutcome);
+    let Ok(body) = response.read(MAX_BODY_BYTES).await else { return Err(broken) };
+    let is_whole = match response.completeness(BodyContent::Opaque) {
+        Completeness::Whole => true,
+        Completeness::Unproven => false,
+        Completeness::BrokenOff => return Err(broken),
+    };
+    let status = response.head.status.as_u16();
+    let content_type = response.head.headers.get("content-type");
+    let content_type = content_type.and_then(|value| Some(value.to_str().ok()?.to_owned()));
+    response.return_connection();
+    Ok(BufferedResponse { status, content_type, body, is_whole })
 }
 
 /// Returns whether a call that ended with this problem may be retried at another instance.
@@ -294,14 +331,13 @@
     }
 }
 
-fn to_problem(error: &SendRequestError) -> Problem {
-    if is_unsent(error) {
-        RequestRefusal {
+fn to_problem(error: SendError) -> Problem {
+    match error {
+        SendError::NotSent => RequestRefusal {
             reason: RequestRefusalReason::Unreachable,
             retry_after: REFUSAL_RETRY_AFTER,
         }
-        .into()
-    } else {
-        Problem::Failed(RequestFailure::UnknownOutcome)
+        .into(),
+        SendError::Lost => Problem::Failed(RequestFailure::UnknownOutcome),
     }
 }
