Bound answers without end: streams by the tokens asked for, buffered bodies by shared memory

On a stream that is not resumable an endless body was passed on until the deadline (5.5 MB to each of 24 callers in 8 s, in a debug build), and 24 endless bodies of plain services took a host to 135 MiB, since each was read up to 4 MiB. Past that the connection is closed at once and the upstream has failed. Endless heads, lines and events were bounded before (64 KiB).

explain names framing and end of a broken body.

--- a/crates/rail_upstream/src/events.rs
+++ b/crates/rail_upstream/src/events.rs
@@ -8,6 +8,21 @@
 /// Maximum size of an event in bytes.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
+/// Maximum size of a stream in bytes.
+const MAX_STREAM_BYTES: usize = 32 << 20;
+/// Maximum size of a stream per token of its answer in bytes, with room for the probabilities of
+/// alternative tokens.
+const MAX_BYTES_PER_TOKEN: usize = 8 << 10;
+
+/// Returns the maximum size in bytes of a stream whose answer has at most this many tokens, 0 if that
+/// is not known.
+pub fn max_stream_bytes(answer_tokens: u32) -> usize {
+    match answer_tokens as usize {
+        0 => MAX_STREAM_BYTES,
+        tokens => (MAX_EVENT_BYTES + tokens * MAX_BYTES_PER_TOKEN).min(MAX_STREAM_BYTES),
+    }
+}
+
 /// Splits a stream into whole events, so that another attempt can resume it after any of them.
 /// Lines end with LF, CRLF or CR.
 #[derive(Debug, Clone, Default)]
--- a/crates/rail_upstream/src/lib.rs
+++ b/crates/rail_upstream/src/lib.rs
@@ -10,6 +10,7 @@
 //! whole events, after any of which another attempt can resume it.
 
 pub mod body;
+pub mod buffer;
 pub mod engine;
 pub mod error;
 pub mod events;
@@ -19,9 +20,10 @@
 pub mod prelude {
     pub use crate::{
         body::{BodyContent, BodyEnd, Completeness, Framing},
+        buffer::{BufferBudget, BufferGuard},
         engine::{Completion, EngineClient, LoadReport, StreamPart},
         error::{Error, Result},
-        events::{EventSplitter, EventTooLarge},
+        events::{EventSplitter, EventTooLarge, max_stream_bytes},
         pool::{ConnectionPool, ConnectionTimeouts, SendError, UpstreamResponse},
     };
 }
--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -3,7 +3,10 @@
 //! Dropping a response before its end closes the connection at once, so that
 //! the upstream can stop working on the request.
 
-use crate::body::{BodyContent, BodyEnd, Completeness, Framing};
+use crate::{
+    body::{BodyContent, BodyEnd, Completeness, Framing},
+    buffer::BufferBudget,
+};
 use bytes::Bytes;
 use http::{Method, Request, Response, response::Parts};
 use http_body_util::{BodyExt, Full};
@@ -310,9 +313,31 @@
     /// # Errors
     /// [`IncompleteBody`] when the body ended early or is larger than `max_bytes`.
     pub async fn read(&mut self, max_bytes: usize) -> std::result::Result<Bytes, IncompleteBody> {
+        self.read_while(|length| length <= max_bytes).await
+    }
+
+    /// Reads the whole body, at most `max_bytes`, and no more than the shared memory allows.
+    ///
+    /// # Errors
+    /// [`IncompleteBody`] when the body ended early or is too large.
+    pub async fn read_within(
+        &mut self,
+        max_bytes: usize,
+        budget: &BufferBudget,
+    ) -> std::result::Result<Bytes, IncompleteBody> {
+        let mut guard = budget.start();
+        // The buffer grows by doubling.
+        self.read_while(|length| length <= max_bytes && guard.grow_to(2 * length)).await
+    }
+
+    /// Reads the body while its length is accepted.
+    async fn read_while(
+        &mut self,
+        mut accepts: impl FnMut(usize) -> bool,
+    ) -> std::result::Result<Bytes, IncompleteBody> {
         let mut body = Vec::new();
         while let Some(chunk) = self.next().await? {
-            if body.len() + chunk.len() > max_bytes {
+            if !accepts(body.len() + chunk.len()) {
                 self.reject_as_too_large();
                 return Err(IncompleteBody);
             }
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -14,7 +14,7 @@
 };
 use rail_runtime::{MonotonicClock, time_since_boot};
 use rail_site::{MetadataStore, NodeSettings, settings::Bounds};
-use rail_upstream::ConnectionPool;
+use rail_upstream::{BufferBudget, ConnectionPool};
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
@@ -77,6 +77,8 @@
     pub store: MetadataStore,
     /// Connection pool to upstreams.
     pub links: ConnectionPool,
+    /// Memory for the bodies of responses that are read completely.
+    pub response_buffers: BufferBudget,
     /// Whether the store answers and how old the records are.
     pub store_health: StoreHealth,
     /// Replica of the store's records.
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -17,12 +17,11 @@
 use futures_util::stream;
 use http::header::{CONTENT_TYPE, HeaderValue};
 use rail_route::{AttemptOutcome, RouteKind, Upstream};
-use rail_upstream::{BodyContent, Completeness, EventSplitter, Framing, UpstreamResponse};
+use rail_upstream::{
+    BodyContent, Completeness, EventSplitter, Framing, UpstreamResponse, max_stream_bytes,
+};
 use std::{sync::Arc, time::Instant};
 
-/// Largest response in bytes.
-const MAX_BODY_BYTES: usize = 32 << 20;
-
 /// The response ended early. Closes the caller's connection, so that the caller notices.
 #[derive(Debug, Clone, Copy, thiserror::Error)]
 #[error("engine response ended before it was complete")]
@@ -124,7 +123,9 @@
             Some(event_splitter) => event_splitter.push(&bytes).ok(),
             None => Some(bytes),
         };
-        if part.is_none() || self.body_bytes > MAX_BODY_BYTES {
+        if part.is_none()
+            || self.body_bytes > max_stream_bytes(self.request.parsed_headers.answer_tokens)
+        {
             upstream_response.reject_as_too_large();
             return None;
         }
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -22,7 +22,7 @@
 use rail_lease::HostLease;
 use rail_runtime::MonotonicClock;
 use rail_site::{MetadataStore, NodeSettings, settings::SettingsFile};
-use rail_upstream::{ConnectionPool, ConnectionTimeouts};
+use rail_upstream::{BufferBudget, ConnectionPool, ConnectionTimeouts};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -108,6 +108,7 @@
         clock,
         store: MetadataStore::open(settings.store_address),
         links: ConnectionPool::new(timeouts),
+        response_buffers: BufferBudget::default(),
         store_health: StoreHealth::default(),
         registry: Registry::default(),
         peers: Peers::default(),
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -260,7 +260,7 @@
     upstream: &Arc<Upstream>,
     mut response: UpstreamResponse,
 ) -> Result<BufferedResponse, &'static str> {
-    let body = response.read(MAX_RESPONSE_BYTES).await;
+    let body = response.read_within(MAX_RESPONSE_BYTES, &node.response_buffers).await;
     match (body, request.judge_body(&response, BodyContent::Opaque)) {
         (Ok(body), completeness @ (Completeness::Whole | Completeness::Unproven)) => {
             let head = response.head.clone();
--- a/crates/tarragonctl/src/explain/cause.rs
+++ b/crates/tarragonctl/src/explain/cause.rs
@@ -46,6 +46,8 @@
         upstream: String,
         /// Outcome of the last attempt, or the reason of the request if no line records an attempt.
         outcome: String,
+        /// Framing and end of the body of its answer, if one was read.
+        body: Option<(String, String)>,
         /// First state other than `ready` that a line reports of the upstream around that time:
         /// `gone`, `draining` or `ejected`.
         new_state: Option<String>,
@@ -88,7 +90,9 @@
     match reason {
         "answered" => answered_cause(history, last),
         "busy" | "late_unsent" => unsent_cause(history),
-        "upstream_lost" | "broken_off" | "late_sent" | "late_stream" => lost_cause(history, last),
+        "upstream_lost" | "broken_off" | "unproven_end" | "late_sent" | "late_stream" => {
+            lost_cause(history, last)
+        }
         "upstream_status" => Cause::UpstreamFailed {
             upstream: last.text("upstream").unwrap_or_default().to_owned(),
             status: last.number("status").unwrap_or(0),
@@ -151,6 +155,10 @@
     }
 }
 
+fn body_end(line: &Line) -> Option<(String, String)> {
+    Some((line.text("framing")?.to_owned(), line.text("ending")?.to_owned()))
+}
+
 fn lost_cause(history: &History, last: &Line) -> Cause {
     let upstream = last.text("upstream").unwrap_or_default();
     let mut attempts = history.request_lines.iter().rev().filter(|line| line.event() == "attempt");
@@ -166,6 +174,7 @@
     Cause::UpstreamLost {
         upstream: upstream.to_owned(),
         outcome: outcome.to_owned(),
+        body: body_end(last),
         new_state: new_state.map(str::to_owned),
     }
 }
@@ -189,8 +198,11 @@
                 write!(f, "upstream {upstream} was full and did not run it")
             }
             Self::NoOwner => write!(f, "no owner of its engines could be asked"),
-            Self::UpstreamLost { upstream, outcome, new_state } => {
+            Self::UpstreamLost { upstream, outcome, body, new_state } => {
                 write!(f, "upstream {upstream} was lost ({outcome})")?;
+                if let Some((framing, ending)) = body {
+                    write!(f, "; the body of its answer, framed by {framing}, was {ending}")?;
+                }
                 match new_state {
                     Some(state) => write!(f, "; it was {state} then"),
                     None => Ok(()),
