Events before an oversized one count as passed on, so they are passed on

A resumable stream that exceeded a size limit was resumed after events that its caller had not got: those that were complete in the same read were recorded as passed on and dropped with the rest. The part is passed on now, and the next read fails.

--- a/crates/rail_upstream/src/engine.rs
+++ b/crates/rail_upstream/src/engine.rs
@@ -307,11 +307,13 @@
                 response.return_connection();
                 return None;
             };
-            match splitter.push(&bytes) {
-                // The parser takes an empty part for the end of the stream.
-                Ok(events) if events.is_empty() => {}
-                Ok(events) => return Some((Ok(events), Some((response, splitter)))),
-                Err(_too_large) => return Some((Err(Error::InvalidResponse), None)),
+            let events = splitter.push(&bytes);
+            if splitter.is_event_too_large() {
+                response.reject_as_too_large();
+            }
+            // The parser takes an empty part for the end of the stream.
+            if !events.is_empty() {
+                return Some((Ok(events), Some((response, splitter))));
             }
         }
     })
--- a/crates/rail_upstream/src/events.rs
+++ b/crates/rail_upstream/src/events.rs
@@ -59,18 +59,10 @@
     Field,
 }
 
-/// An event exceeds the maximum size, so the stream does not consist of events.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("event exceeds {MAX_EVENT_BYTES} bytes")]
-pub struct EventTooLarge;
-
 impl EventSplitter {
     /// Appends bytes of the stream; returns the events that are complete now, without those that
     /// were passed on before a resumption.
-    ///
-    /// # Errors
-    /// [`EventTooLarge`] when an event exceeds 64 KiB.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, EventTooLarge> {
+    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.buffer.extend_from_slice(bytes);
         let mut passed = BytesMut::new();
         while let Some(end) = self.find_event_end() {
@@ -80,11 +72,12 @@
                 passed.unsplit(event);
             }
         }
-        if self.buffer.len() > MAX_EVENT_BYTES {
-            self.buffer.clear();
-            return Err(EventTooLarge);
-        }
-        Ok(passed.freeze())
+        passed.freeze()
+    }
+
+    /// Returns whether the incomplete event exceeds 64 KiB, so that the stream must not be read on.
+    pub fn is_event_too_large(&self) -> bool {
+        self.buffer.len() > MAX_EVENT_BYTES
     }
 
     /// Returns what the stream so far says about its completeness.
--- a/crates/rail_upstream/src/lib.rs
+++ b/crates/rail_upstream/src/lib.rs
@@ -23,7 +23,7 @@
         buffer::{BufferBudget, BufferGuard},
         engine::{Completion, EngineClient, LoadReport, StreamPart},
         error::{Error, Result},
-        events::{EventSplitter, EventTooLarge, max_stream_bytes},
+        events::{EventSplitter, max_stream_bytes},
         pool::{ConnectionPool, ConnectionTimeouts, SendError, UpstreamResponse},
     };
 }
--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -273,7 +273,7 @@
         self.end.map_or(Completeness::BrokenOff, |end| Completeness::of(end, content))
     }
 
-    /// Closes the connection, since the body exceeds a size limit of its reader.
+    /// Closes the connection, since the body exceeds a size limit of its reader. Reading on fails.
     pub fn reject_as_too_large(&mut self) {
         self.end = Some(BodyEnd::TooLarge);
         self.connection = None;
@@ -282,8 +282,12 @@
     /// Waits for the next chunk of the body; returns none at its end.
     ///
     /// # Errors
-    /// [`IncompleteBody`] when the connection ended before the body did.
+    /// [`IncompleteBody`] when the connection ended before the body did, or the body was rejected
+    /// as too large.
     pub async fn next(&mut self) -> std::result::Result<Option<Bytes>, IncompleteBody> {
+        if self.end == Some(BodyEnd::TooLarge) {
+            return Err(IncompleteBody);
+        }
         loop {
             match self.body.frame().await {
                 None => {
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -115,21 +115,20 @@
     }
 
     /// Reads the next part of the body, which is empty if no event is complete yet. Returns `None`
-    /// at the end of the body, also if it exceeds a size limit.
+    /// at the end of the body. A body that exceeds a size limit ends after this part, since its
+    /// events count as passed on.
     async fn read_part(&mut self, upstream_response: &mut UpstreamResponse) -> Option<Bytes> {
         let bytes = upstream_response.next().await.ok().flatten()?;
         self.body_bytes += bytes.len();
-        let part = match &mut self.event_splitter {
-            Some(event_splitter) => event_splitter.push(&bytes).ok(),
-            None => Some(bytes),
+        let max_bytes = max_stream_bytes(self.request.parsed_headers.answer_tokens);
+        let (part, is_event_too_large) = match &mut self.event_splitter {
+            Some(splitter) => (splitter.push(&bytes), splitter.is_event_too_large()),
+            None => (bytes, false),
         };
-        if part.is_none()
-            || self.body_bytes > max_stream_bytes(self.request.parsed_headers.answer_tokens)
-        {
+        if is_event_too_large || self.body_bytes > max_bytes {
             upstream_response.reject_as_too_large();
-            return None;
         }
-        part
+        Some(part)
     }
 
     /// Records a whole response and returns the bytes after its last event.
