An answer that ends with its connection is reset if its host is killed

Answers without length and chunks end with the caller's connection, which the system closes in order when a host is killed: whole events and an orderly end, as of a whole answer. The socket is now set to end with a reset before the first byte of such an answer, and to end in order only when its body is finished, so that a killed process, a stopped one and a broken body all end with a reset.

--- a/crates/tarragon_node/src/caller_connection.rs
+++ b/crates/tarragon_node/src/caller_connection.rs
@@ -13,14 +13,22 @@
     net::TcpStream,
 };
 
-/// Request to end a caller's connection with a reset; clones refer to the same connection.
+/// Handle with which an answer that ends with its connection shows whether it is complete; clones
+/// refer to the same connection.
 #[derive(Debug, Clone, Default)]
-pub struct ConnectionReset(Rc<Cell<bool>>);
+pub struct ConnectionEnd {
+    is_reset: Rc<Cell<bool>>,
+}
+
+impl ConnectionEnd {
+    /// Makes the connection end with a reset, also when this process ends.
+    pub fn begin_answer(&self) {
+        self.is_reset.set(true);
+    }
 
-impl ConnectionReset {
-    /// Makes the connection end with a reset when it is closed.
-    pub fn request(&self) {
-        self.0.set(true);
+    /// Makes the connection end in order after all bytes are sent.
+    pub fn finish_answer(&self) {
+        self.is_reset.set(false);
     }
 }
 
@@ -28,28 +36,38 @@
 #[derive(Debug)]
 pub struct CallerConnection {
     stream: TcpStream,
-    reset: ConnectionReset,
+    end: ConnectionEnd,
+    /// Whether the socket is set to end with a reset.
+    is_socket_reset: bool,
 }
 
 impl CallerConnection {
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, reset: ConnectionReset::default() }
+        Self { stream, end: ConnectionEnd::default(), is_socket_reset: false }
     }
 
-    /// Returns the handle with which an answer requests a reset of this connection.
-    pub fn reset_handle(&self) -> ConnectionReset {
-        self.reset.clone()
+    /// Returns the handle of answers on this connection.
+    pub fn end_handle(&self) -> ConnectionEnd {
+        self.end.clone()
+    }
+
+    /// Sets on the socket how the connection ends, so that the system ends it so even if this
+    /// process ends.
+    fn set_end(&mut self, is_reset: bool) {
+        if self.is_socket_reset == is_reset {
+            return;
+        }
+        let linger = is_reset.then_some(Duration::ZERO);
+        // Without this option the connection ends in order, as it does for other programs.
+        let _unsupported = socket2::SockRef::from(&self.stream).set_linger(linger);
+        self.is_socket_reset = is_reset;
     }
 }
 
 impl Drop for CallerConnection {
     fn drop(&mut self) {
-        if self.reset.0.get() {
-            // Without this option the caller sees an ordinary end, as from any interrupted process.
-            let _unsupported =
-                socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
-        }
+        self.set_end(self.end.is_reset.get());
     }
 }
 
@@ -69,6 +87,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
+        if self.end.is_reset.get() {
+            self.set_end(true);
+        }
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -77,10 +98,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
-        if self.reset.0.get() {
+        if self.end.is_reset.get() {
             // An orderly end must not precede the reset.
             return Poll::Ready(Ok(()));
         }
+        self.set_end(false);
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 
@@ -89,6 +111,9 @@
         context: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
+        if self.end.is_reset.get() {
+            self.set_end(true);
+        }
         Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
     }
 
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -1,7 +1,7 @@
 //! Requests of callers, from the arrival of the head to the end of the response.
 
 use crate::{
-    caller_connection::ConnectionReset,
+    caller_connection::ConnectionEnd,
     engine_requests,
     events::Event,
     listen::{self, ListenTimeouts},
@@ -118,7 +118,7 @@
     let fingerprint = fingerprint(&method, &host, &target, &body);
     let is_engine = routes.services.get(&service).is_some_and(|service| service.engine.is_some());
     let is_http10 = request.head().version < actix_http::Version::HTTP_11;
-    let connection_reset = request.conn_data::<ConnectionReset>().cloned().unwrap_or_default();
+    let connection_end = request.conn_data::<ConnectionEnd>().cloned().unwrap_or_default();
     let request = CallerRequest {
         method,
         target,
@@ -136,7 +136,7 @@
         queued_ms: Cell::new(0),
         is_end_recorded: Cell::new(false),
         is_http10,
-        connection_reset,
+        connection_end,
         last_body: Cell::new(None),
         node: Rc::clone(&node),
     };
--- a/crates/tarragon_node/src/listen.rs
+++ b/crates/tarragon_node/src/listen.rs
@@ -60,7 +60,7 @@
             .client_disconnect_timeout(CLOSE_TIMEOUT)
             .h1_allow_half_closed(false)
             .on_connect_ext(|connection: &CallerConnection, data: &mut Extensions| {
-                data.insert(connection.reset_handle());
+                data.insert(connection.end_handle());
             })
             .h1(service);
         let Ok(connections) = factory.new_service(()).await else {
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -140,6 +140,7 @@
             quarantine::record_completion(&self.node, &self.request, admission);
         }
         upstream_response.return_connection();
+        self.request.connection_end.finish_answer();
         let reason = if self.status < 300 { "answered" } else { "upstream_status" };
         self.record_end(reason, self.status);
         self.event_splitter.as_mut().map(EventSplitter::finish).unwrap_or_default()
@@ -155,12 +156,8 @@
         self.resume().await
     }
 
-    /// Records the end of an incomplete response. Where only the end of the connection would end
-    /// it, a reset shows the caller that it is incomplete.
+    /// Records the end of an incomplete response.
     fn truncate(&self, reason: &str) -> ResponseTruncated {
-        if self.ends_with_connection {
-            self.request.connection_reset.request();
-        }
         self.record_end(reason, 0);
         ResponseTruncated
     }
@@ -217,6 +214,7 @@
     let is_event_stream = is_event_stream(&request, &upstream_response);
     let ends_with_connection =
         request.is_http10 || upstream_response.framing() == Framing::UntilClose;
+    let connection_end = request.connection_end.clone();
     let relay = Relay {
         event_splitter: is_event_stream.then(EventSplitter::default),
         is_resumable: request.route.kind == RouteKind::Stream { resumable: true },
@@ -236,7 +234,7 @@
     };
     let body = BodyStream::new(stream::unfold(relay, Relay::next));
     if ends_with_connection {
-        reply::end_with_connection(&mut response, body)
+        reply::end_with_connection(&mut response, &connection_end, body)
     } else {
         response.body(BoxBody::new(body)).map_into_boxed_body()
     }
--- a/crates/tarragon_node/src/reply.rs
+++ b/crates/tarragon_node/src/reply.rs
@@ -1,13 +1,14 @@
 //! Responses to callers.
 
+use crate::caller_connection::ConnectionEnd;
 use actix_http::{
     Response, ResponseBuilder, StatusCode,
     body::{BodyStream, BoxBody, MessageBody},
 };
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use rail_site::headers::caller_response_headers;
-use std::{convert::Infallible, time::Duration};
+use std::{convert::Infallible, task::Poll, time::Duration};
 
 /// Lower bound of every `retry-after` header.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -119,18 +120,25 @@
 }
 
 /// Completes a response with a body that ends with the connection, which claims nothing about its
-/// completeness.
+/// completeness. Until the body is finished, the connection ends with a reset.
 pub fn end_with_connection(
     response: &mut ResponseBuilder,
+    connection_end: &ConnectionEnd,
     body: impl MessageBody + 'static,
 ) -> Response<BoxBody> {
+    connection_end.begin_answer();
     response.force_close();
     let mut response = response.body(BoxBody::new(body)).map_into_boxed_body();
     response.head_mut().no_chunking(true);
     response
 }
 
-/// Returns a body without a stated length.
-pub fn body_without_length(body: Bytes) -> impl MessageBody {
-    BodyStream::new(stream::iter([Ok::<_, Infallible>(body)]))
+/// Returns a body without a stated length, after which the connection ends in order.
+pub fn body_without_length(body: Bytes, connection_end: ConnectionEnd) -> impl MessageBody {
+    let body = stream::iter([Ok::<_, Infallible>(body)]);
+    let end = stream::poll_fn(move |_context| {
+        connection_end.finish_answer();
+        Poll::Ready(None)
+    });
+    BodyStream::new(body.chain(end))
 }
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -1,7 +1,7 @@
 //! A caller's request while it is served, and how it ends.
 
 use crate::{
-    caller_connection::ConnectionReset,
+    caller_connection::ConnectionEnd,
     events::Event,
     node::SharedNode,
     quarantine::Refusal,
@@ -57,8 +57,8 @@
     /// Whether the caller's protocol version has no chunks, so that an answer without a stated
     /// length ends with the connection.
     pub is_http10: bool,
-    /// Ends the caller's connection with a reset.
-    pub connection_reset: ConnectionReset,
+    /// How the caller's connection ends.
+    pub connection_end: ConnectionEnd,
     /// Framing and end of the last response body that an upstream sent.
     pub last_body: Cell<Option<(Framing, BodyEnd)>>,
     /// State of the process, for the log line on drop.
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -247,7 +247,9 @@
         match self.completeness {
             Completeness::Whole => response.body(BoxBody::new(self.body)).map_into_boxed_body(),
             Completeness::Unproven | Completeness::BrokenOff => {
-                reply::end_with_connection(&mut response, reply::body_without_length(self.body))
+                let end = &request.connection_end;
+                let body = reply::body_without_length(self.body, end.clone());
+                reply::end_with_connection(&mut response, end, body)
             }
         }
     }
