A host that starts while answers of the store are lost reads all kinds of records

Cause: while a host joins, only the read of upstreams calls a store that does not answer; the other kinds wait until it has answered. If the answer to another kind was lost after the upstreams had been read, nobody called the store any more, so the host never chose a source of records (no line `source` after its start). Each kind now reads again by itself while the host joins.

--- a/crates/tarragon_node/src/record_sources.rs
+++ b/crates/tarragon_node/src/record_sources.rs
@@ -203,7 +203,8 @@
                 record_call_result(node, kind, None);
                 return apply_listing(node, kind, &listing);
             }
-            Err(error) => handle_call_failure(node, kind, &error).await,
+            // Each kind calls again by itself: the task of upstreams may have finished already.
+            Err(error) => record_call_failure(node, kind, &error).await,
         }
     }
 }
@@ -292,16 +293,21 @@
 
 /// Records a failed call and waits until the next one may be made.
 async fn handle_call_failure(node: &Node, kind: RecordKind, error: &StoreError) {
+    record_call_failure(node, kind, error).await;
+    // Only the task of upstreams calls an unavailable store; the others wait until it answers.
+    while kind != RecordKind::Upstreams && node.store_health.consecutive_failures.get() > 0 {
+        tokio::time::sleep(RECOVERY_CHECK_INTERVAL).await;
+    }
+}
+
+/// Records a failed call and waits for the backoff.
+async fn record_call_failure(node: &Node, kind: RecordKind, error: &StoreError) {
     record_call_result(node, kind, Some(error));
     if matches!(error, StoreError::NoAnswer) && kind == RecordKind::Upstreams {
         node.store.close_idle();
         node.store_health.watch_restart.notify_waiters();
     }
     tokio::time::sleep(backoff(node.store_health.consecutive_failures.get())).await;
-    // Only the task of upstreams calls an unavailable store; the others wait until it answers.
-    while kind != RecordKind::Upstreams && node.store_health.consecutive_failures.get() > 0 {
-        tokio::time::sleep(RECOVERY_CHECK_INTERVAL).await;
-    }
 }
 
 /// Returns the pause after consecutive failed calls. It grows since every store call is billed.
