Log how old the records are by which a request was sent or refused

A request handled by an old configuration or sent to a leaving upstream left no line that tells whether the host's copy was old (no news arrived), or new and not used. Each kind of record has a time up to which the store confirmed it: a watch that ended without changes confirms the end of its wait, one with changes only the moment at which it was sent, a stale listing nothing. Feeds pass the ages on with their keepalives, per kind, behind the records that they confirm. Request, attempt and refused_at_once lines have them as record_ages. No decision uses them yet.

--- a/crates/rail_member/src/lib.rs
+++ b/crates/rail_member/src/lib.rs
@@ -9,6 +9,7 @@
 //! metadata store, [`RecordText`] is their form between hosts, and [`SourceChooser`] decides from
 //! which host or store they are received. [`HostPhase`] is the life cycle of a host.
 
+pub mod confirmation;
 pub mod entry;
 pub mod freshness;
 pub mod heartbeat;
@@ -22,6 +23,7 @@
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
+        confirmation::{Confirmations, RecordAges},
         entry::{EntryHost, list_entry_hosts},
         freshness::{Freshness, FreshnessState, PeerReport},
         heartbeat::{Heartbeat, Role},
--- a/crates/rail_member/src/replica.rs
+++ b/crates/rail_member/src/replica.rs
@@ -26,6 +26,16 @@
 impl RecordKind {
     /// All kinds, in the order of their declaration.
     pub const ALL: [Self; 4] = [Self::Config, Self::Upstreams, Self::Versions, Self::Owners];
+
+    /// Returns the name of the kind in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Upstreams => "upstreams",
+            Self::Versions => "versions",
+            Self::Owners => "owners",
+        }
+    }
 }
 
 /// Stored content and revision of a record.
--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -1,7 +1,9 @@
 //! Messages that processes exchange over peer links.
 
 use rail_lease::{WitnessRefusal, WitnessRequest};
-use rail_member::{Heartbeat, HeartbeatUpdate, HostHeartbeat, RecordText, replica::RecordKind};
+use rail_member::{
+    Heartbeat, HeartbeatUpdate, HostHeartbeat, RecordAges, RecordText, replica::RecordKind,
+};
 use rail_request::{RecordNews, WorkEvent, WorkOrder};
 use rail_revision::Revision;
 use serde::{Deserialize, Serialize};
@@ -154,6 +156,8 @@
         revision: Revision,
         /// Time since the sender's last contact with the store, in milliseconds.
         age_ms: u32,
+        /// Ages of the records that were sent before this item.
+        record_ages: RecordAges,
     },
     /// The feed ends: the sender has lost the store, or already feeds enough other hosts.
     Lost,
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -101,6 +101,7 @@
             took_ms: started_at.elapsed().as_millis() as u64,
             status: upstream_status(&attempt),
             outcome,
+            record_ages: request.record_ages.get(),
         });
     }
     attempt
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -77,6 +77,7 @@
             reason: failure.reason(),
             status: failure.status().as_u16(),
             config,
+            record_ages: node.record_ages(),
         });
         reply::failure_response(failure, retry_after, node.is_stopping.get())
     };
@@ -143,6 +144,7 @@
         is_end_recorded: Cell::new(false),
         is_http10,
         connection_end,
+        record_ages: Cell::new(node.record_ages()),
         last_body: Cell::new(None),
         node: Rc::clone(&node),
     };
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -1,9 +1,10 @@
 //! Event log of the process.
 
+use rail_member::RecordAges;
 use rail_request::{Fingerprint, UpstreamEnd};
 use rail_revision::Revision;
 use rail_runtime::{EventLog, EventPriority, MonotonicClock};
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
 /// One line of the event log.
 #[derive(Debug, Serialize)]
@@ -125,9 +126,20 @@
         took_ms: u64,
         status: u16,
         outcome: &'a str,
+        /// Ages in milliseconds of the records by which the upstream was chosen.
+        #[serde(serialize_with = "as_text")]
+        record_ages: RecordAges,
     },
     /// A request was refused before its first attempt.
-    RefusedAtOnce { request: &'a str, reason: &'a str, status: u16, config: u64 },
+    RefusedAtOnce {
+        request: &'a str,
+        reason: &'a str,
+        status: u16,
+        config: u64,
+        /// Ages in milliseconds of the records by which the request was refused.
+        #[serde(serialize_with = "as_text")]
+        record_ages: RecordAges,
+    },
     /// A request ended.
     Request {
         request: &'a str,
@@ -142,6 +154,9 @@
         first_ms: u64,
         total_ms: u64,
         budget_ms: u64,
+        /// Ages in milliseconds of the host's records when the request was last sent or refused.
+        #[serde(serialize_with = "as_text")]
+        record_ages: RecordAges,
         /// How the body of the upstream's response was framed, if there was one.
         #[serde(skip_serializing_if = "Option::is_none")]
         framing: Option<&'static str>,
@@ -151,6 +166,10 @@
     },
 }
 
+fn as_text<S: Serializer>(ages: &RecordAges, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(ages)
+}
+
 /// Writes events to the log, with their time.
 #[derive(Debug, Clone)]
 pub struct Events {
--- a/crates/tarragon_node/src/feed.rs
+++ b/crates/tarragon_node/src/feed.rs
@@ -4,6 +4,7 @@
 use rail_member::{RecordKind, source::MAX_FEEDS_PER_HOST};
 use rail_peer::{FeedItem, PeerReply, PeerRequest, ReplySender, ReplyStream};
 use rail_revision::Era;
+use rail_runtime::time_since_boot;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -98,6 +99,7 @@
         Some(age) => FeedItem::Alive {
             revision: node.registry.revision(RecordKind::Upstreams),
             age_ms: age.as_millis() as u32,
+            record_ages: node.record_ages(),
         },
         None => FeedItem::Lost,
     }
@@ -164,7 +166,8 @@
                 registry::apply_complete_listing(node, kind, &names, revision);
                 completed_kinds.push(kind);
             }
-            FeedItem::Alive { revision, age_ms } => {
+            FeedItem::Alive { revision, age_ms, record_ages } => {
+                node.confirmations.borrow_mut().record_ages(&record_ages, time_since_boot());
                 node.registry.advance(RecordKind::Upstreams, revision);
                 let age = Duration::from_millis(u64::from(age_ms));
                 node.store_health.record_source_age(node.now(), age);
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -6,7 +6,7 @@
     upstream_ends::UpstreamEnds, upstream_loads::UpstreamLoads,
 };
 use rail_lease::{ReturnGuard, host_lease::HostLease};
-use rail_member::{HostView, RecordKind};
+use rail_member::{Confirmations, HostView, RecordAges, RecordKind};
 use rail_place::ReplicaSpread;
 use rail_revision::{Era, Revision};
 use rail_route::{
@@ -85,6 +85,8 @@
     pub response_buffers: BufferBudget,
     /// Whether the store answers and how old the records are.
     pub store_health: StoreHealth,
+    /// How old the copies of the store's records are.
+    pub confirmations: RefCell<Confirmations>,
     /// Replica of the store's records.
     pub registry: Registry,
     /// Links to other hosts and their registered addresses.
@@ -147,6 +149,11 @@
         self.clock.now()
     }
 
+    /// Returns the time since the store confirmed each kind of record.
+    pub fn record_ages(&self) -> RecordAges {
+        self.confirmations.borrow().ages(time_since_boot())
+    }
+
     /// Returns whether callers should use this host: it knows routes and upstreams and is not
     /// stopping.
     pub fn is_ready(&self) -> bool {
--- a/crates/tarragon_node/src/record_sources.rs
+++ b/crates/tarragon_node/src/record_sources.rs
@@ -12,6 +12,7 @@
     source::{Source, SourceCandidate, SourceChooser},
 };
 use rail_revision::Revision;
+use rail_runtime::time_since_boot;
 use rail_site::{
     Freshness, StoreError,
     store::{Change, Listing},
@@ -252,10 +253,14 @@
     // the listing be the latest.
     let mut freshness = Freshness::MayBeStale;
     loop {
+        let asked_at = time_since_boot();
         match node.store.list(store_kind(kind), freshness, STORE_CALL_TIMEOUT).await {
             Ok(listing) => {
                 record_call_result(&node, kind, None);
                 apply_listing(&node, kind, &listing);
+                if freshness == Freshness::Latest {
+                    node.confirmations.borrow_mut().record(kind, asked_at);
+                }
                 watch_from(&node, kind, listing.revision).await;
                 freshness = Freshness::Latest;
             }
@@ -276,6 +281,7 @@
         }
         let watch_call =
             node.store.watch(store_kind(kind), revision, max_watch_wait(kind), STORE_CALL_TIMEOUT);
+        let asked_at = time_since_boot();
         let watch_result = tokio::select! {
             watch_result = watch_call => watch_result,
             () = node.store_health.watch_restart.notified() => continue,
@@ -283,12 +289,20 @@
         match watch_result {
             Ok(changes) => {
                 record_call_result(node, kind, None);
+                let has_changes = !changes.changes.is_empty();
                 for change in changes.changes {
                     match change {
                         Change::Put(object) => registry::apply_stored_record(node, kind, &object),
                         Change::Removed(name) => registry::remove_record(node, kind, &name),
                     }
                 }
+                node.confirmations.borrow_mut().record_watch(
+                    kind,
+                    asked_at,
+                    time_since_boot(),
+                    max_watch_wait(kind),
+                    has_changes,
+                );
                 revision = changes.revision;
                 node.registry.advance(kind, revision);
             }
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -9,6 +9,7 @@
 };
 use actix_http::{Response, body::BoxBody};
 use bytes::Bytes;
+use rail_member::RecordAges;
 use rail_request::{Fingerprint, QuarantineKey};
 use rail_route::{Route, RouteKind};
 use rail_site::CallerHeaders;
@@ -65,6 +66,8 @@
     pub is_http10: bool,
     /// How the caller's connection ends.
     pub connection_end: ConnectionEnd,
+    /// Ages of the host's records when the request was last sent, or when it arrived.
+    pub record_ages: Cell<RecordAges>,
     /// Framing and end of the last response body that an upstream sent.
     pub last_body: Cell<Option<(Framing, BodyEnd)>>,
     /// State of the process, for the log line on drop.
@@ -127,6 +130,7 @@
             self.node.metrics.queue_time.observe(kind_name(self.route.kind), queued);
         }
         self.attempts.set(self.attempts.get() + 1);
+        self.record_ages.set(self.node.record_ages());
         self.sent_at.set(Instant::now());
     }
 
@@ -177,6 +181,7 @@
         first_ms: end.first_ms,
         total_ms: request.arrived_at.elapsed().as_millis() as u64,
         budget_ms: request.deadline_at.duration_since(request.arrived_at).as_millis() as u64,
+        record_ages: request.record_ages.get(),
         framing: last_body.map(|(framing, _)| framing.name()),
         ending: last_body.map(|(_, end)| end.name()),
     };
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -112,6 +112,7 @@
         links: ConnectionPool::new(timeouts),
         response_buffers: BufferBudget::default(),
         store_health: StoreHealth::default(),
+        confirmations: RefCell::default(),
         registry: Registry::default(),
         peers: Peers::default(),
         routes: RefCell::default(),
