A late removal leaves a record that was created again

A removal that arrives late, from a slower source, undoes a newer registration, and a record that comes again from an older source stays. Removals now name the revision of the store at which the record was gone, and leave a later record; a watch's answer that has a removal and a creation of one name counts as a change.

Test: a_late_removal_removes_a_record_that_was_created_again. Tests of rail_member pass, linter clean.

--- a/crates/rail_member/src/replica.rs
+++ b/crates/rail_member/src/replica.rs
@@ -103,9 +103,11 @@
         PutOutcome::Changed
     }
 
-    /// Removes a record and reports whether it existed.
-    pub fn remove(&mut self, name: &str) -> bool {
-        self.records.remove(name).is_some()
+    /// Removes a record that was gone at a revision, and reports whether it was there. A record that
+    /// was created again since stays.
+    pub fn remove(&mut self, name: &str, revision: Revision) -> bool {
+        let is_gone = self.records.get(name).is_some_and(|known| known.revision <= revision);
+        is_gone && self.records.remove(name).is_some()
     }
 
     /// Removes the records that a source does not list as of a revision, and returns their names.
--- a/crates/rail_member/tests/small_hosts.rs
+++ b/crates/rail_member/tests/small_hosts.rs
@@ -126,7 +126,7 @@
         "an earlier revision is ignored"
     );
     replica.advance(at(90));
-    assert!(replica.remove("u"));
+    assert!(replica.remove("u", at(90)));
     assert_eq!(
         replica.put("u", at(60), text("new")),
         PutOutcome::Stale,
@@ -151,6 +151,17 @@
     );
 }
 
+/// Guards against a removal that arrives late, over a slower path than the record's return.
+#[test]
+fn a_late_removal_removes_a_record_that_was_created_again() {
+    let mut replica = Replica::default();
+    replica.put("u", at(40), text("old"));
+    assert_eq!(replica.put("u", at(60), text("again")), PutOutcome::Changed);
+    assert!(!replica.remove("u", at(50)));
+    assert!(replica.contains("u"));
+    assert!(replica.remove("u", at(70)));
+}
+
 #[test]
 fn a_source_that_lags_behind_removes_nothing() {
     let mut replica = Replica::default();
--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -140,6 +140,8 @@
         kind: RecordKind,
         /// Name of the record, unique within its kind.
         name: String,
+        /// Revision of the store at which the record was gone.
+        revision: Revision,
     },
     /// Every record of a kind was sent, as of this revision.
     Complete {
--- a/crates/tarragon_node/src/feed.rs
+++ b/crates/tarragon_node/src/feed.rs
@@ -161,7 +161,9 @@
                     node.registry.advance(kind, revision);
                 }
             }
-            FeedItem::Removed { kind, name } => registry::remove_record(node, kind, &name),
+            FeedItem::Removed { kind, name, revision } => {
+                registry::remove_record(node, kind, &name, revision);
+            }
             FeedItem::Complete { kind, names, revision } => {
                 registry::apply_complete_listing(node, kind, &names, revision);
                 completed_kinds.push(kind);
@@ -181,9 +183,10 @@
 fn item_era(item: &FeedItem) -> Option<Era> {
     match item {
         FeedItem::Put { revision, .. }
+        | FeedItem::Removed { revision, .. }
         | FeedItem::Complete { revision, .. }
         | FeedItem::Alive { revision, .. } => Some(revision.era),
-        FeedItem::Removed { .. } | FeedItem::Lost => None,
+        FeedItem::Lost => None,
     }
 }
 
--- a/crates/tarragon_node/src/record_sources.rs
+++ b/crates/tarragon_node/src/record_sources.rs
@@ -15,7 +15,7 @@
 use rail_runtime::time_since_boot;
 use rail_site::{
     Freshness, StoreError,
-    store::{Change, Listing},
+    store::{Change, Changes, Listing},
 };
 use rand::seq::IteratorRandom;
 use std::{
@@ -290,12 +290,7 @@
             Ok(changes) => {
                 record_call_result(node, kind, None);
                 let has_changes = !changes.changes.is_empty();
-                for change in changes.changes {
-                    match change {
-                        Change::Put(object) => registry::apply_stored_record(node, kind, &object),
-                        Change::Removed(name) => registry::remove_record(node, kind, &name),
-                    }
-                }
+                apply_changes(node, kind, &changes);
                 node.confirmations.borrow_mut().record_watch(
                     kind,
                     asked_at,
@@ -315,6 +310,24 @@
     }
 }
 
+/// Applies the changes that a watch reported. A record that was removed and created again is not
+/// removed, since its newer state may have arrived over another path.
+fn apply_changes(node: &SharedNode, kind: RecordKind, changes: &Changes) {
+    for (index, change) in changes.changes.iter().enumerate() {
+        match change {
+            Change::Put(object) => registry::apply_stored_record(node, kind, object),
+            Change::Removed(name) => {
+                let is_created_again = changes.changes[index..]
+                    .iter()
+                    .any(|later| matches!(later, Change::Put(object) if object.name == *name));
+                if !is_created_again {
+                    registry::remove_record(node, kind, name, changes.revision);
+                }
+            }
+        }
+    }
+}
+
 /// Records a failed call and waits until the next one may be made.
 async fn handle_call_failure(node: &Node, kind: RecordKind, error: &StoreError) {
     record_call_failure(node, kind, error).await;
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -239,20 +239,20 @@
     node.events.important(&Event::BadRecord { kind: store_kind(kind), name, reason });
 }
 
-/// Applies the removal of a record. After a store outage, the removal of an upstream is deferred by
+/// Applies the removal of a record that was gone at a revision of the store. After a store outage, the removal of an upstream is deferred by
 /// [`REREGISTRATION_GRACE`], since its record may only have expired during the outage.
-pub fn remove_record(node: &SharedNode, kind: RecordKind, name: &str) {
+pub fn remove_record(node: &SharedNode, kind: RecordKind, name: &str, revision: Revision) {
     let store_recovered_at = node.registry.store_recovered_at.get();
     let remaining_grace = (store_recovered_at + REREGISTRATION_GRACE).saturating_sub(node.now());
     if kind != RecordKind::Upstreams || store_recovered_at.is_zero() || remaining_grace.is_zero() {
-        return delete_record(node, kind, name);
+        return delete_record(node, kind, name, revision);
     }
     node.registry.possibly_expired.borrow_mut().insert(name.to_owned());
     let (node, name) = (Rc::clone(node), name.to_owned());
     actix_rt::spawn(async move {
         tokio::time::sleep(remaining_grace).await;
         if node.registry.possibly_expired.borrow_mut().remove(&name) {
-            delete_record(&node, kind, &name);
+            delete_record(&node, kind, &name, revision);
         }
     });
 }
@@ -286,7 +286,7 @@
         unlisted
     };
     for name in unlisted {
-        remove_record(node, kind, &name);
+        remove_record(node, kind, &name, revision);
     }
     if is_new_era {
         let names = names.to_vec();
@@ -294,12 +294,13 @@
     }
 }
 
-fn delete_record(node: &SharedNode, kind: RecordKind, name: &str) {
-    let was_known = node.registry.replicas.borrow_mut().entry(kind).or_default().remove(name);
+fn delete_record(node: &SharedNode, kind: RecordKind, name: &str, revision: Revision) {
+    let was_known =
+        node.registry.replicas.borrow_mut().entry(kind).or_default().remove(name, revision);
     if !was_known {
         return;
     }
-    node.registry.publish(&FeedItem::Removed { kind, name: name.to_owned() });
+    node.registry.publish(&FeedItem::Removed { kind, name: name.to_owned(), revision });
     match kind {
         RecordKind::Config | RecordKind::Versions => {}
         RecordKind::Owners => {
