Hosts ask for newer records by age, the store and several hosts at once

Each kind of record now has an age at each host, the time since the store confirmed it, and each stage is a share of the bound (rail_member::refresh): the watches of a host that follows the store confirm every 0.3 of it, from 0.425 on a host asks the store and four hosts at once, then eight, whatever its source does; a host that is asked answers as soon as it has news. A source that is not confirmed itself is left, a parent with old records isn't chosen, and a host that the store answers follows the store.

--- a/crates/rail_member/src/lib.rs
+++ b/crates/rail_member/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod members;
 pub mod packed;
 pub mod phase;
+pub mod refresh;
 pub mod replica;
 pub mod source;
 
@@ -31,6 +32,7 @@
         members::{Member, Members},
         packed::RecordText,
         phase::{HostPhase, Phase, PhaseEvent},
+        refresh::{RecordBounds, RefreshPlanner},
         replica::{RecordKind, Replica},
         source::{Source, SourceChooser},
     };
--- a/crates/rail_member/src/source.rs
+++ b/crates/rail_member/src/source.rs
@@ -42,6 +42,15 @@
     pub is_fresh: bool,
 }
 
+/// Whether this host can use the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StoreAccess {
+    /// Whether recent calls failed, or got no answer for long.
+    pub is_failing: bool,
+    /// Whether the store answered the last call, and not long ago.
+    pub answers: bool,
+}
+
 /// Chooses the source of one host and avoids sources that failed recently.
 #[derive(Debug, Clone)]
 pub struct SourceChooser {
@@ -64,21 +73,35 @@
 
     /// Chooses a source among the live hosts, which include this one.
     ///
-    /// `store_fails` is set when the recent calls of this host to the store failed.
-    pub fn choose(&mut self, live: &[SourceCandidate], store_fails: bool, now: Duration) -> Source {
+    /// A parent whose records are old is chosen only while no host has recent ones, as at the start
+    /// of the fleet. A host that reaches the store itself follows it rather than search for another.
+    pub fn choose(
+        &mut self,
+        live: &[SourceCandidate],
+        store: StoreAccess,
+        now: Duration,
+    ) -> Source {
         self.avoided_until.retain(|_, until| now < *until);
         let ordered = ordered_hosts_of_zone(live, &self.zone);
         let own_position = ordered.iter().position(|host| *host == self.host);
         let root_count = root_count_of_zone(live, &self.zone);
-        if own_position.is_none_or(|position| position < root_count) && !store_fails {
+        if own_position.is_none_or(|position| position < root_count) && !store.is_failing {
             return Source::Store;
         }
         let parent = own_position
             .and_then(|position| parent_position(position, root_count))
             .map(|position| ordered[position]);
-        if let Some(parent) = parent.filter(|host| !self.avoided_until.contains_key(*host)) {
+        let others_are_old = !live.iter().any(|other| other.is_fresh && other.host != self.host);
+        let is_usable = |host: &&str| {
+            let is_fresh = live.iter().any(|other| other.is_fresh && other.host == **host);
+            (is_fresh || others_are_old) && !self.avoided_until.contains_key(*host)
+        };
+        if let Some(parent) = parent.filter(is_usable) {
             return Source::Host(parent.to_owned());
         }
+        if store.answers {
+            return Source::Store;
+        }
         self.nearest_fresh(live).map_or(Source::Store, |host| Source::Host(host.to_owned()))
     }
 
--- a/crates/rail_member/tests/small_hosts.rs
+++ b/crates/rail_member/tests/small_hosts.rs
@@ -5,7 +5,7 @@
     host_heartbeat::SUSPECT_AFTER,
     packed::UnpackError,
     replica::PutOutcome,
-    source::{MAX_FEEDS_PER_HOST, SourceCandidate},
+    source::{MAX_FEEDS_PER_HOST, SourceCandidate, StoreAccess},
 };
 use rail_revision::Revision;
 use std::{
@@ -184,7 +184,11 @@
 /// Returns the source that each host chooses.
 fn sources(live: &[SourceCandidate]) -> HashMap<String, Source> {
     let choose = |candidate: &SourceCandidate| {
-        SourceChooser::new(&candidate.host, &candidate.zone).choose(live, false, ms(0))
+        SourceChooser::new(&candidate.host, &candidate.zone).choose(
+            live,
+            StoreAccess::default(),
+            ms(0),
+        )
     };
     live.iter().map(|candidate| (candidate.host.clone(), choose(candidate))).collect()
 }
@@ -256,10 +260,15 @@
 fn a_host_cut_off_from_the_store_follows_another_host() {
     let live = [candidate("a", false), candidate("b", true)];
     let mut chooser = SourceChooser::new("a", "z");
-    assert_eq!(chooser.choose(&live, false, ms(0)), Source::Store);
-    assert_eq!(chooser.choose(&live, true, ms(0)), Source::Host("b".to_owned()));
+    let failing = StoreAccess { is_failing: true, answers: false };
+    assert_eq!(chooser.choose(&live, StoreAccess::default(), ms(0)), Source::Store);
+    assert_eq!(chooser.choose(&live, failing, ms(0)), Source::Host("b".to_owned()));
     chooser.avoid("b", ms(0));
-    assert_eq!(chooser.choose(&live, true, ms(1)), Source::Store, "no other host can be a source");
+    assert_eq!(
+        chooser.choose(&live, failing, ms(1)),
+        Source::Store,
+        "no other host can be a source"
+    );
 }
 
 /// Guards against records of a store that returned from an older copy and count as outdated, and
@@ -299,3 +308,24 @@
     view.record(heartbeat("c", "z", 1), ms(0));
     assert!(!all(&view, &["a", "b", "c"]), "c has records of the era before");
 }
+
+/// Guards against hosts that follow each other while none of them gets news from the store.
+#[test]
+fn a_host_that_reaches_the_store_follows_a_parent_with_old_records() {
+    let mut live = fleet(1, 9);
+    let own = sources(&live).into_iter().find(|(_, source)| *source != Source::Store);
+    let (host, source) = own.expect("a host below the roots");
+    let Source::Host(parent) = source else { panic!("the source is a host") };
+    for candidate in &mut live {
+        candidate.is_fresh = candidate.host != parent;
+    }
+    let answers = StoreAccess { is_failing: false, answers: true };
+    let mut chooser = SourceChooser::new(&host, "z0");
+    assert_eq!(chooser.choose(&live, answers, ms(0)), Source::Store);
+    let without_store = chooser.choose(&live, StoreAccess::default(), ms(0));
+    assert!(matches!(&without_store, Source::Host(other) if *other != parent), "{without_store:?}");
+    for candidate in &mut live {
+        candidate.is_fresh = true;
+    }
+    assert_eq!(chooser.choose(&live, answers, ms(0)), Source::Host(parent));
+}
--- a/crates/rail_peer/src/lib.rs
+++ b/crates/rail_peer/src/lib.rs
@@ -29,8 +29,8 @@
         gossip::Gossip,
         mesh::PeerMesh,
         message::{
-            FeedItem, GrantReply, GrantRequest, PeerReply, PeerRequest, PermitReply, PermitRequest,
-            QuarantineExchange, TrialReply, TrialRequest, release_code,
+            ChangesRequest, FeedItem, GrantReply, GrantRequest, PeerReply, PeerRequest,
+            PermitReply, PermitRequest, QuarantineExchange, TrialReply, TrialRequest, release_code,
         },
         server::{IncomingCall, PeerServer, ReplySender},
     };
--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -47,6 +47,18 @@
     /// Requests the trial of a request that may crash its upstream. The trial ends when the sender
     /// drops the call.
     Trial(TrialRequest),
+    /// Requests records that the sender lacks, since its own are old.
+    Changes(ChangesRequest),
+}
+
+/// Requests records from a host whose own are more recent. The receiver keeps the request open until
+/// that is so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangesRequest {
+    /// Revision up to which the sender has each kind, in the order of [`RecordKind::ALL`].
+    pub revisions: [Revision; 4],
+    /// Ages of the sender's records.
+    pub record_ages: RecordAges,
 }
 
 /// Quarantine records that one host sends to another.
@@ -152,12 +164,10 @@
         /// Revision of the store at which the listing is complete.
         revision: Revision,
     },
-    /// The sender's records are still fresh.
+    /// The sender has sent every change that it knows.
     Alive {
         /// Revision of the store up to which the sender has upstream records.
         revision: Revision,
-        /// Time since the sender's last contact with the store, in milliseconds.
-        age_ms: u32,
         /// Ages of the records that were sent before this item.
         record_ages: RecordAges,
     },
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -26,6 +26,16 @@
     Source { source: &'a str },
     /// The feed of a source ended.
     SourceLost { source: &'a str, reason: &'a str },
+    /// Records got old; the store and other hosts are asked for newer ones.
+    Refresh {
+        #[serde(serialize_with = "as_text")]
+        record_ages: RecordAges,
+    },
+    /// All records are recent again.
+    Refreshed {
+        #[serde(serialize_with = "as_text")]
+        record_ages: RecordAges,
+    },
     /// The configuration was fetched from a host with a newer one, or the fetch failed.
     ConfigFetched { source: &'a str, reason: &'a str },
     /// A configuration was applied.
--- a/crates/tarragon_node/src/feed.rs
+++ b/crates/tarragon_node/src/feed.rs
@@ -1,8 +1,11 @@
 //! Feeds of records between hosts: serves them to followers and follows that of another host.
 
-use crate::{node::SharedNode, registry};
-use rail_member::{RecordKind, source::MAX_FEEDS_PER_HOST};
-use rail_peer::{FeedItem, PeerReply, PeerRequest, ReplySender, ReplyStream};
+use crate::{
+    node::{Node, SharedNode},
+    registry,
+};
+use rail_member::{RecordKind, refresh::QUESTION_TIMEOUT, source::MAX_FEEDS_PER_HOST};
+use rail_peer::{ChangesRequest, FeedItem, PeerReply, PeerRequest, ReplySender, ReplyStream};
 use rail_revision::Era;
 use rail_runtime::time_since_boot;
 use std::time::Duration;
@@ -14,10 +17,10 @@
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1100);
 /// Timeout for opening a feed.
 const START_TIMEOUT: Duration = Duration::from_millis(700);
-/// Time that a serving host, which may have just started, has until its own records are fresh.
+/// Time that a serving host, which may have just started, has until its own records are recent.
 const FRESHNESS_TIMEOUT: Duration = Duration::from_millis(900);
-/// Interval at which the serving host checks whether its records are fresh.
-const FRESHNESS_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// A feed ends when the store's last confirmation is this old.
+const MAX_FED_AGE: Duration = Duration::from_secs(3);
 /// Most hosts that one host feeds. Twice the planned number, since hosts whose planned source fails
 /// use others.
 const MAX_OUTGOING_FEEDS: usize = 2 * MAX_FEEDS_PER_HOST;
@@ -57,10 +60,8 @@
 /// Sends every record and then changes, until this host loses the store or the peer closes the
 /// feed.
 pub async fn serve(node: SharedNode, mut replies: ReplySender) {
-    wait_for_fresh(&node).await;
-    if !node.store_health.is_fresh(node.now())
-        || node.registry.follower_count() >= MAX_OUTGOING_FEEDS
-    {
+    let is_recent = wait_until(&node, FRESHNESS_TIMEOUT, Node::has_recent_records).await;
+    if !is_recent || node.registry.follower_count() >= MAX_OUTGOING_FEEDS {
         // A failed send means that the peer has left.
         let _gone = replies.send(&PeerReply::Feed(FeedItem::Lost)).await;
         return;
@@ -85,23 +86,65 @@
     }
 }
 
-/// Waits until the records of this host are fresh, at most [`FRESHNESS_TIMEOUT`].
-async fn wait_for_fresh(node: &SharedNode) {
-    let wait_deadline = node.now() + FRESHNESS_TIMEOUT;
-    while !node.store_health.is_fresh(node.now()) && node.now() < wait_deadline {
-        tokio::time::sleep(FRESHNESS_CHECK_INTERVAL).await;
+/// Waits until a condition on the ages of records holds, and returns whether it does.
+async fn wait_until(node: &Node, max_wait: Duration, condition: impl Fn(&Node) -> bool) -> bool {
+    let is_met = async {
+        while !condition(node) {
+            node.records_confirmed.notified().await;
+        }
+    };
+    timeout(max_wait, is_met).await.is_ok()
+}
+
+/// Returns an item with the ages of the records, or one that ends the feed if they are too old.
+fn keepalive(node: &Node) -> FeedItem {
+    let ages = node.record_ages();
+    let is_usable = ages.of(RecordKind::Upstreams).is_some_and(|age| age < MAX_FED_AGE);
+    if is_usable { node.registry.ages_item(ages) } else { FeedItem::Lost }
+}
+
+/// Sends the records that another host lacks, once those of this host are more recent.
+pub async fn serve_changes(node: SharedNode, request: ChangesRequest, mut replies: ReplySender) {
+    let asked_at = time_since_boot();
+    let has_news = |node: &Node| {
+        let waited = time_since_boot().saturating_sub(asked_at);
+        node.record_bounds().has_news(&node.record_ages(), &request.record_ages, waited)
+    };
+    if !wait_until(&node, QUESTION_TIMEOUT, has_news).await {
+        let _gone = replies.send(&PeerReply::Feed(FeedItem::Lost)).await;
+        return;
     }
+    let mut items = node.registry.changes_since(&request.revisions);
+    items.push(node.registry.ages_item(node.record_ages()));
+    for item in items {
+        if replies.send(&PeerReply::Feed(item)).await.is_err() {
+            return;
+        }
+    }
+    replies.finish();
 }
 
-/// Returns an item with the age of the records, or one that ends the feed if they are stale.
-fn keepalive(node: &SharedNode) -> FeedItem {
-    match node.store_health.age(node.now()) {
-        Some(age) => FeedItem::Alive {
-            revision: node.registry.revision(RecordKind::Upstreams),
-            age_ms: age.as_millis() as u32,
-            record_ages: node.record_ages(),
-        },
-        None => FeedItem::Lost,
+/// Asks another host for the records that this one lacks, and applies them.
+///
+/// # Errors
+/// Returns why the records were not received completely.
+pub async fn fetch_changes(node: &SharedNode, host: &str) -> Result<(), FeedError> {
+    let request = ChangesRequest {
+        revisions: RecordKind::ALL.map(|kind| node.registry.revision(kind)),
+        record_ages: node.record_ages(),
+    };
+    let mut replies = open_call(node, host, &PeerRequest::Changes(request)).await?;
+    let first = timeout(QUESTION_TIMEOUT + SILENCE_TIMEOUT, replies.next()).await;
+    let mut item = feed_item(first.map_err(|_elapsed| FeedError::Silent)?);
+    let mut completed_kinds = Vec::new();
+    loop {
+        match item {
+            Ok(FeedItem::Lost) => return Err(FeedError::SourceLost),
+            Ok(next) => apply_item(node, next, &mut completed_kinds)?,
+            Err(FeedError::Ended) => return Ok(()),
+            Err(error) => return Err(error),
+        }
+        item = next_item(&mut replies).await;
     }
 }
 
@@ -150,33 +193,50 @@
                 return error;
             }
         };
-        if item_era(&item).is_some_and(|era| era < node.return_guard.borrow().era()) {
-            return FeedError::EarlierEra;
+        // A source that gets no news itself is left, although it still answers.
+        if let FeedItem::Alive { record_ages, .. } = &item
+            && !node.are_recent(record_ages)
+        {
+            return FeedError::SourceLost;
         }
-        match item {
-            FeedItem::Put { kind, name, revision, text } => {
-                registry::apply_fed_record(node, kind, &name, revision, text);
-                // Changes arrive in order once every record of the kind was sent.
-                if completed_kinds.contains(&kind) {
-                    node.registry.advance(kind, revision);
-                }
-            }
-            FeedItem::Removed { kind, name, revision } => {
-                registry::remove_record(node, kind, &name, revision);
-            }
-            FeedItem::Complete { kind, names, revision } => {
-                registry::apply_complete_listing(node, kind, &names, revision);
-                completed_kinds.push(kind);
-            }
-            FeedItem::Alive { revision, age_ms, record_ages } => {
-                node.confirmations.borrow_mut().record_ages(&record_ages, time_since_boot());
-                node.registry.advance(RecordKind::Upstreams, revision);
-                let age = Duration::from_millis(u64::from(age_ms));
-                node.store_health.record_source_age(node.now(), age);
+        if let Err(error) = apply_item(node, item, &mut completed_kinds) {
+            return error;
+        }
+    }
+}
+
+/// Applies one item of a feed. `completed_kinds` are those of which every record was received.
+fn apply_item(
+    node: &SharedNode,
+    item: FeedItem,
+    completed_kinds: &mut Vec<RecordKind>,
+) -> Result<(), FeedError> {
+    if item_era(&item).is_some_and(|era| era < node.return_guard.borrow().era()) {
+        return Err(FeedError::EarlierEra);
+    }
+    match item {
+        FeedItem::Put { kind, name, revision, text } => {
+            registry::apply_fed_record(node, kind, &name, revision, text);
+            // Changes arrive in order once every record of the kind was sent.
+            if completed_kinds.contains(&kind) {
+                node.registry.advance(kind, revision);
             }
-            FeedItem::Lost => return FeedError::SourceLost,
         }
+        FeedItem::Removed { kind, name, revision } => {
+            registry::remove_record(node, kind, &name, revision);
+        }
+        FeedItem::Complete { kind, names, revision } => {
+            registry::apply_complete_listing(node, kind, &names, revision);
+            completed_kinds.push(kind);
+        }
+        FeedItem::Alive { revision, record_ages } => {
+            node.registry.advance(RecordKind::Upstreams, revision);
+            node.confirmations.borrow_mut().record_ages(&record_ages, time_since_boot());
+            registry::publish_ages(node);
+        }
+        FeedItem::Lost => return Err(FeedError::SourceLost),
     }
+    Ok(())
 }
 
 /// Returns the era of the store that an item names.
@@ -215,11 +275,16 @@
 }
 
 async fn next_item(replies: &mut ReplyStream) -> Result<FeedItem, FeedError> {
-    match timeout(SILENCE_TIMEOUT, replies.next()).await {
-        Err(_elapsed) => Err(FeedError::Silent),
-        Ok(Ok(Some(PeerReply::Feed(item)))) => Ok(item),
-        Ok(Ok(Some(_))) => Err(FeedError::Unreadable),
-        Ok(Ok(None)) => Err(FeedError::Ended),
-        Ok(Err(_)) => Err(FeedError::LinkLost),
+    let reply = timeout(SILENCE_TIMEOUT, replies.next()).await;
+    feed_item(reply.map_err(|_elapsed| FeedError::Silent)?)
+}
+
+/// Returns the item of a reply, `Ended` if there is no further reply.
+fn feed_item(reply: rail_peer::Result<Option<PeerReply>>) -> Result<FeedItem, FeedError> {
+    match reply {
+        Ok(Some(PeerReply::Feed(item))) => Ok(item),
+        Ok(Some(_)) => Err(FeedError::Unreadable),
+        Ok(None) => Err(FeedError::Ended),
+        Err(_) => Err(FeedError::LinkLost),
     }
 }
--- a/crates/tarragon_node/src/metrics.rs
+++ b/crates/tarragon_node/src/metrics.rs
@@ -29,6 +29,8 @@
     pub store_calls: ReasonCounters,
     /// Records received from the store or from other hosts, by their effect.
     pub records: ReasonCounters,
+    /// Questions to other hosts for newer records, by result.
+    pub refreshes: ReasonCounters,
     /// Orders to engines by outcome.
     pub orders: ReasonCounters,
     /// Runs without a whole answer, by its sign.
@@ -117,6 +119,10 @@
                 "records",
                 "Records received from the store or from other hosts, by their effect",
             ),
+            refreshes: registry.reason_counters(
+                "refreshes",
+                "Questions to other hosts for newer records, by result",
+            ),
             orders: registry.reason_counters("orders", "Orders to engines by outcome"),
             lost_runs: registry
                 .reason_counters("lost_runs", "Runs without a whole answer, by its sign"),
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -2,11 +2,13 @@
 
 use crate::{
     engines::OwnedEngines, events::Events, metrics::NodeMetrics, peers::Peers,
-    quarantine::Quarantine, record_sources::StoreHealth, registry::Registry,
+    quarantine::Quarantine, registry::Registry, store_health::StoreHealth,
     upstream_ends::UpstreamEnds, upstream_loads::UpstreamLoads,
 };
 use rail_lease::{ReturnGuard, host_lease::HostLease};
-use rail_member::{Confirmations, HostView, RecordAges, RecordKind};
+use rail_member::{
+    Confirmations, HostView, RecordAges, RecordBounds, RecordKind, refresh::RefreshBudget,
+};
 use rail_place::ReplicaSpread;
 use rail_revision::{Era, Revision};
 use rail_route::{
@@ -83,7 +85,7 @@
     pub links: ConnectionPool,
     /// Memory for the bodies of responses that are read completely.
     pub response_buffers: BufferBudget,
-    /// Whether the store answers and how old the records are.
+    /// Whether the store answers this host.
     pub store_health: StoreHealth,
     /// How old the copies of the store's records are.
     pub confirmations: RefCell<Confirmations>,
@@ -127,6 +129,8 @@
     pub is_stopping: Cell<bool>,
     /// Whether new requests are refused, since they might not finish before the process exits.
     pub is_refusing_requests: Cell<bool>,
+    /// Notified when the ages of records are confirmed anew.
+    pub records_confirmed: Notify,
     /// Notified when records of the store change, such as owners or upstreams.
     pub records_changed: Notify,
     /// Event log.
@@ -154,6 +158,43 @@
         self.confirmations.borrow().ages(time_since_boot())
     }
 
+    /// Returns the times within which changes of records must take effect.
+    pub fn record_bounds(&self) -> RecordBounds {
+        let bounds = self.bounds();
+        RecordBounds {
+            config: bounds.config_apply_timeout,
+            upstreams: bounds.drain_timeout,
+            versions: bounds.version_rollout_timeout,
+        }
+    }
+
+    /// Returns the kinds of records of this host that are so old that it must ask for newer ones.
+    pub fn old_kinds(&self) -> Vec<RecordKind> {
+        self.kinds_older_than(&self.record_ages(), RefreshBudget::refresh_age)
+    }
+
+    /// Returns whether records of these ages are recent enough to follow their host.
+    pub fn are_recent(&self, record_ages: &RecordAges) -> bool {
+        self.kinds_older_than(record_ages, RefreshBudget::recent_age).is_empty()
+    }
+
+    /// Returns whether this host's records are recent enough for other hosts to follow it.
+    pub fn has_recent_records(&self) -> bool {
+        self.are_recent(&self.record_ages())
+    }
+
+    fn kinds_older_than(
+        &self,
+        record_ages: &RecordAges,
+        part: fn(&RefreshBudget) -> Duration,
+    ) -> Vec<RecordKind> {
+        let bounds = self.record_bounds();
+        let is_old = |kind: &RecordKind| {
+            record_ages.of(*kind).is_none_or(|age| age >= part(&bounds.budget(*kind)))
+        };
+        RecordKind::ALL.into_iter().filter(is_old).collect()
+    }
+
     /// Returns whether callers should use this host: it knows routes and upstreams and is not
     /// stopping.
     pub fn is_ready(&self) -> bool {
--- a/crates/tarragon_node/src/peer_calls.rs
+++ b/crates/tarragon_node/src/peer_calls.rs
@@ -41,6 +41,9 @@
             PeerRequest::Feed => {
                 actix_rt::spawn(feed::serve(Rc::clone(&node), replies));
             }
+            PeerRequest::Changes(request) => {
+                actix_rt::spawn(feed::serve_changes(Rc::clone(&node), request, replies));
+            }
             PeerRequest::Grant(call) => {
                 actix_rt::spawn(serve_grant(Rc::clone(&node), peer, call, replies));
             }
--- a/crates/tarragon_node/src/peers.rs
+++ b/crates/tarragon_node/src/peers.rs
@@ -233,7 +233,7 @@
         in_flight: node.in_flight.get(),
         capacity_milli: (node.reloadable_settings.get().cores * 1000.0) as u32,
         config_version,
-        is_fresh: node.store_health.is_fresh(node.now()),
+        is_fresh: node.has_recent_records(),
         owners_era: node.registry.revision(RecordKind::Owners).era,
     };
     node.hosts.borrow_mut().record(heartbeat, node.now());
--- a/crates/tarragon_node/src/record_sources.rs
+++ b/crates/tarragon_node/src/record_sources.rs
@@ -7,9 +7,9 @@
     registry::{self, store_kind},
 };
 use rail_member::{
-    HostHeartbeat,
+    HostHeartbeat, refresh,
     replica::RecordKind,
-    source::{Source, SourceCandidate, SourceChooser},
+    source::{Source, SourceCandidate, SourceChooser, StoreAccess},
 };
 use rail_revision::Revision;
 use rail_runtime::time_since_boot;
@@ -18,12 +18,8 @@
     store::{Change, Changes, Listing},
 };
 use rand::seq::IteratorRandom;
-use std::{
-    cell::{Cell, RefCell},
-    rc::Rc,
-    time::Duration,
-};
-use tokio::{sync::Notify, task::JoinHandle};
+use std::{cell::RefCell, rc::Rc, time::Duration};
+use tokio::task::JoinHandle;
 
 /// Timeout of a store call. For a watch, the time that it waits for changes is added.
 const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -32,9 +28,6 @@
 /// Time for which the own source may lag behind another host's configuration before it is fetched
 /// from there.
 const CONFIG_LAG_TOLERANCE: Duration = Duration::from_millis(300);
-/// Records that are followed through another host count as stale once the store's last response is
-/// this old.
-const MAX_RECORD_AGE: Duration = Duration::from_secs(3);
 /// Backoff after the first failed call.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(250);
 /// Factor by which the backoff grows with each consecutive failure.
@@ -43,10 +36,6 @@
 const MAX_BACKOFF_STEPS: u32 = 6;
 /// Interval at which the tasks of other kinds check whether the store answers again.
 const RECOVERY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Time without a response after which the store counts as unavailable for this host.
-const STORE_LOST_TIMEOUT: Duration = Duration::from_secs(2);
-/// Consecutive failed calls after which the store counts as unavailable for this host.
-const MAX_CONSECUTIVE_FAILURES: u32 = 3;
 /// Interval at which the source is reconsidered while the store is followed.
 const SOURCE_CHOICE_INTERVAL: Duration = Duration::from_millis(700);
 /// Time after the start in which hosts discover each other before a source is chosen.
@@ -54,77 +43,6 @@
 /// Shortest time for which a host follows the store before it may switch to another host.
 const MIN_STORE_FOLLOW_TIME: Duration = Duration::from_millis(900);
 
-/// Whether the store answers, directly or through other hosts.
-#[derive(Debug, Default)]
-pub struct StoreHealth {
-    is_following_store: Cell<bool>,
-    last_call_answered: Cell<bool>,
-    last_answer_at: Cell<Duration>,
-    /// Consecutive calls that the store did not answer.
-    consecutive_failures: Cell<u32>,
-    is_unavailable: Cell<bool>,
-    /// Restarts waiting watches after idle connections to the store were closed.
-    watch_restart: Notify,
-    /// When the store last answered, as reported by the host whose feed is followed.
-    last_answer_through_host: Cell<Option<Duration>>,
-}
-
-impl StoreHealth {
-    /// Returns whether records are fresh enough to feed other hosts.
-    pub fn is_fresh(&self, now: Duration) -> bool {
-        self.age(now).is_some()
-    }
-
-    /// Returns the time since the store last answered, directly or through other hosts, or `None`
-    /// if the records are stale. The age is passed along the feed, so that hosts that feed each
-    /// other in a cycle become stale together.
-    pub fn age(&self, now: Duration) -> Option<Duration> {
-        if self.is_following_store.get() && self.last_call_answered.get() && !self.is_failing(now) {
-            return Some(now.saturating_sub(self.last_answer_at.get()));
-        }
-        let age = now.saturating_sub(self.last_answer_through_host.get()?);
-        (age < MAX_RECORD_AGE).then_some(age)
-    }
-
-    /// Records that the store answered another host `age` ago.
-    pub fn record_source_age(&self, now: Duration, age: Duration) {
-        let answered_at = now.saturating_sub(age);
-        self.last_answer_through_host
-            .set(self.last_answer_through_host.get().max(Some(answered_at)));
-    }
-
-    /// Ends waiting watches, which start again from the revisions known.
-    pub fn restart_watches(&self) {
-        self.watch_restart.notify_waiters();
-    }
-
-    fn is_failing(&self, now: Duration) -> bool {
-        let is_silent = now >= self.last_answer_at.get() + STORE_LOST_TIMEOUT;
-        self.is_following_store.get()
-            && (is_silent || self.consecutive_failures.get() >= MAX_CONSECUTIVE_FAILURES)
-    }
-}
-
-/// Returns the longest time that one watch waits for changes.
-///
-/// Upstreams renew their records continually, so the short watch of that kind detects dead
-/// connections to the store early.
-fn max_watch_wait(kind: RecordKind) -> Duration {
-    match kind {
-        RecordKind::Upstreams => Duration::from_millis(1200),
-        RecordKind::Config | RecordKind::Versions | RecordKind::Owners => Duration::from_secs(15),
-    }
-}
-
-/// Returns the pause between two watches, in which changes accumulate.
-fn watch_pause(kind: RecordKind) -> Duration {
-    match kind {
-        RecordKind::Upstreams => Duration::from_millis(600),
-        RecordKind::Config => Duration::from_millis(150),
-        RecordKind::Versions | RecordKind::Owners => Duration::from_millis(300),
-    }
-}
-
 /// Spawns the tasks that follow the records.
 pub fn spawn(node: &SharedNode) {
     actix_rt::spawn(follow_sources(Rc::clone(node)));
@@ -191,7 +109,11 @@
 fn choose_source(node: &Node, chooser: &RefCell<SourceChooser>) -> Source {
     let now = node.now();
     let live = source_candidates(node);
-    chooser.borrow_mut().choose(&live, node.store_health.is_failing(now), now)
+    let store = StoreAccess {
+        is_failing: node.store_health.is_failing(now),
+        answers: node.store_health.answers(now),
+    };
+    chooser.borrow_mut().choose(&live, store, now)
 }
 
 /// Reads every record once, which suffices until a source is chosen.
@@ -230,10 +152,7 @@
 /// Follows the store until the chooser prefers another source.
 async fn follow_store(node: &SharedNode, chooser: &RefCell<SourceChooser>) {
     node.events.important(&Event::Source { source: "store" });
-    node.store_health.last_answer_at.set(node.now());
-    node.store_health.consecutive_failures.set(0);
-    node.store_health.last_call_answered.set(false);
-    node.store_health.is_following_store.set(true);
+    node.store_health.start_following(node.now());
     let watch = |kind| actix_rt::spawn(follow_kind(Rc::clone(node), kind));
     let watches = WatchTasks(RecordKind::ALL.map(watch).into());
     tokio::time::sleep(MIN_STORE_FOLLOW_TIME).await;
@@ -260,6 +179,7 @@
                 apply_listing(&node, kind, &listing);
                 if freshness == Freshness::Latest {
                     node.confirmations.borrow_mut().record(kind, asked_at);
+                    registry::publish_ages(&node);
                 }
                 watch_from(&node, kind, listing.revision).await;
                 freshness = Freshness::Latest;
@@ -274,32 +194,34 @@
     let mut revision = revision;
     let mut pause = Duration::ZERO;
     loop {
-        tokio::time::sleep(std::mem::replace(&mut pause, watch_pause(kind))).await;
+        let budget = node.record_bounds().budget(kind);
+        tokio::time::sleep(std::mem::replace(&mut pause, budget.watch_pause())).await;
         // In a later era the store may count past this revision without the changes before it.
         if revision.era < node.store.era() {
             return;
         }
-        let watch_call =
-            node.store.watch(store_kind(kind), revision, max_watch_wait(kind), STORE_CALL_TIMEOUT);
+        let age = node.record_ages().of(kind).unwrap_or_default();
+        let max_wait = budget.watch_wait(age);
+        let watch_call = node.store.watch(store_kind(kind), revision, max_wait, STORE_CALL_TIMEOUT);
         let asked_at = time_since_boot();
         let watch_result = tokio::select! {
             watch_result = watch_call => watch_result,
-            () = node.store_health.watch_restart.notified() => continue,
+            () = node.store_health.wait_for_restart() => continue,
         };
         match watch_result {
             Ok(changes) => {
                 record_call_result(node, kind, None);
-                let has_changes = !changes.changes.is_empty();
                 apply_changes(node, kind, &changes);
                 node.confirmations.borrow_mut().record_watch(
                     kind,
                     asked_at,
                     time_since_boot(),
-                    max_watch_wait(kind),
-                    has_changes,
+                    max_wait,
+                    !changes.changes.is_empty(),
                 );
                 revision = changes.revision;
                 node.registry.advance(kind, revision);
+                registry::publish_ages(node);
             }
             Err(StoreError::HistoryGone) => {
                 record_call_result(node, kind, Some(&StoreError::HistoryGone));
@@ -310,6 +232,46 @@
     }
 }
 
+/// Asks the store for the changes of a kind, over another call than those of the watches, and
+/// returns whether it answered.
+pub async fn refresh_kind(node: &SharedNode, kind: RecordKind) -> bool {
+    let asked_at = time_since_boot();
+    let revision = node.registry.revision(kind);
+    let changes = if revision.is_unknown() {
+        Err(StoreError::HistoryGone)
+    } else {
+        let no_wait = Duration::ZERO;
+        node.store.watch(store_kind(kind), revision, no_wait, refresh::STORE_CALL_TIMEOUT).await
+    };
+    let result = match changes {
+        Ok(changes) => {
+            apply_changes(node, kind, &changes);
+            node.registry.advance(kind, changes.revision);
+            Ok(())
+        }
+        Err(StoreError::HistoryGone) => {
+            let listing =
+                node.store.list(store_kind(kind), Freshness::Latest, refresh::STORE_CALL_TIMEOUT);
+            listing.await.map(|listing| apply_listing(node, kind, &listing))
+        }
+        Err(error) => Err(error),
+    };
+    record_call_result(node, kind, result.as_ref().err());
+    match result {
+        Ok(()) => {
+            node.confirmations.borrow_mut().record(kind, asked_at);
+            registry::publish_ages(node);
+            true
+        }
+        Err(error) => {
+            if matches!(error, StoreError::NoAnswer) {
+                node.store.close_idle();
+            }
+            false
+        }
+    }
+}
+
 /// Applies the changes that a watch reported. A record that was removed and created again is not
 /// removed, since its newer state may have arrived over another path.
 fn apply_changes(node: &SharedNode, kind: RecordKind, changes: &Changes) {
@@ -332,7 +294,7 @@
 async fn handle_call_failure(node: &Node, kind: RecordKind, error: &StoreError) {
     record_call_failure(node, kind, error).await;
     // Only the task of upstreams calls an unavailable store; the others wait until it answers.
-    while kind != RecordKind::Upstreams && node.store_health.consecutive_failures.get() > 0 {
+    while kind != RecordKind::Upstreams && node.store_health.consecutive_failures() > 0 {
         tokio::time::sleep(RECOVERY_CHECK_INTERVAL).await;
     }
 }
@@ -342,9 +304,9 @@
     record_call_result(node, kind, Some(error));
     if matches!(error, StoreError::NoAnswer) && kind == RecordKind::Upstreams {
         node.store.close_idle();
-        node.store_health.watch_restart.notify_waiters();
+        node.store_health.restart_watches();
     }
-    tokio::time::sleep(backoff(node.store_health.consecutive_failures.get())).await;
+    tokio::time::sleep(backoff(node.store_health.consecutive_failures())).await;
 }
 
 /// Returns the pause after consecutive failed calls. It grows since every store call is billed.
@@ -358,18 +320,15 @@
     let reason = error.map_or_else(|| "ok".to_owned(), ToString::to_string);
     node.metrics.store_calls.count(&reason);
     let is_unavailable = error.is_some_and(|error| !error.is_answer());
-    node.store_health.last_call_answered.set(!is_unavailable);
     if is_unavailable {
-        node.store_health
-            .consecutive_failures
-            .set(node.store_health.consecutive_failures.get() + 1);
+        node.store_health.record_failure();
     } else {
-        node.store_health.consecutive_failures.set(0);
-        node.store_health.last_answer_at.set(node.now());
+        node.store_health.record_answer(node.now());
+    }
+    if kind != RecordKind::Upstreams {
+        return;
     }
-    if kind != RecordKind::Upstreams
-        || node.store_health.is_unavailable.replace(is_unavailable) == is_unavailable
-    {
+    if !node.store_health.record_availability(!is_unavailable) {
         return;
     }
     if !is_unavailable {
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -2,11 +2,11 @@
 
 use crate::{
     events::Event,
-    node::{OwnerRecord, Ownership, SharedNode},
+    node::{Node, OwnerRecord, Ownership, SharedNode},
     store_return,
 };
 use rail_member::{
-    RecordText,
+    RecordAges, RecordText,
     replica::{PutOutcome, Record, RecordKind, Replica},
 };
 use rail_peer::FeedItem;
@@ -63,11 +63,40 @@
 }
 
 impl Registry {
+    /// Returns an item with the ages of records, which confirms the items sent before it.
+    pub fn ages_item(&self, record_ages: RecordAges) -> FeedItem {
+        FeedItem::Alive { revision: self.revision(RecordKind::Upstreams), record_ages }
+    }
+
     /// Records that the store answers again after an outage.
     pub fn record_store_recovery(&self, now: Duration) {
         self.store_recovered_at.set(now);
     }
 
+    /// Returns the records that changed after these revisions, one for each kind, and what a host
+    /// needs to know to remove upstreams that are gone. Records of other kinds are never removed
+    /// for long, and a list of all their names would be long.
+    pub fn changes_since(&self, revisions: &[Revision; 4]) -> Vec<FeedItem> {
+        let replicas = self.replicas.borrow();
+        let mut items = Vec::new();
+        for (kind, replica) in replicas.iter() {
+            let since = revisions[*kind as usize];
+            let changed = replica.iter().filter(|(_, record)| record.revision > since);
+            items.extend(changed.map(|(name, record)| FeedItem::Put {
+                kind: *kind,
+                name: name.clone(),
+                revision: record.revision,
+                text: record.text.clone(),
+            }));
+        }
+        if let Some(replica) = replicas.get(&RecordKind::Upstreams) {
+            let names = replica.iter().map(|(name, _)| name.clone()).collect();
+            let (kind, revision) = (RecordKind::Upstreams, replica.revision());
+            items.push(FeedItem::Complete { kind, names, revision });
+        }
+        items
+    }
+
     /// Returns the state of an upstream: one that has drained in an earlier era does not return to
     /// work because an older copy of the store lists it so.
     fn lasting_state(&self, upstream: &Upstream, era: Era) -> UpstreamState {
@@ -134,6 +163,12 @@
     }
 }
 
+/// Tells followers how old the records are, and wakes tasks that wait for recent ones.
+pub fn publish_ages(node: &Node) {
+    node.records_confirmed.notify_waiters();
+    node.registry.publish(&node.registry.ages_item(node.record_ages()));
+}
+
 /// Applies a record read from the store.
 pub fn apply_stored_record(node: &SharedNode, kind: RecordKind, object: &StoredObject) {
     let StoredObject { name, revision, value } = object;
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -13,9 +13,9 @@
     peer_calls,
     peers::{self, Peers},
     quarantine::Quarantine,
-    quarantine_news,
-    record_sources::{self, StoreHealth},
+    quarantine_news, record_sources, refresh,
     registry::Registry,
+    store_health::StoreHealth,
     upstream_ends::UpstreamEnds,
     upstream_loads::UpstreamLoads,
 };
@@ -84,6 +84,7 @@
         entry::spawn(&node, SocketAddr::new(node.settings.ip, flags.metrics_port))?;
     }
     record_sources::spawn(&node);
+    refresh::spawn(&node);
     lease::spawn(&node);
     quarantine_news::spawn(&node);
     OwnedEngines::spawn(&node);
@@ -133,6 +134,7 @@
         in_flight: Cell::new(0),
         is_stopping: Cell::new(false),
         is_refusing_requests: Cell::new(false),
+        records_confirmed: Notify::new(),
         records_changed: Notify::new(),
         events: Events::open(clock),
         metrics: NodeMetrics::open(),
--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -60,7 +60,8 @@
                 | PeerRequest::Config
                 | PeerRequest::Grant(_)
                 | PeerRequest::Quarantine(_)
-                | PeerRequest::Trial(_) => {}
+                | PeerRequest::Trial(_)
+                | PeerRequest::Changes(_) => {}
                 PeerRequest::Witness(request) => {
                     let answer = session.answer_as_witness(request);
                     actix_rt::spawn(reply_once(PeerReply::Witness(answer), replies));
