Removals are deferred only after an outage of the store, not after a host's own

A host is now told by others what the store says, so its records are old only if the store answers no host: only if they are older than the longest time of a refresh when an answer comes does an outage end. When it did is told to followers and to hosts that ask, so that all defer the same removals until the same moment.

--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -173,6 +173,11 @@
     },
     /// The feed ends: the sender has lost the store, or already feeds enough other hosts.
     Lost,
+    /// The store answers again after it was unavailable to all hosts.
+    StoreRecovered {
+        /// Time since its first answer, in milliseconds.
+        ago_ms: u32,
+    },
 }
 
 /// Reply of an engine's owner to a [`GrantRequest`].
--- a/crates/tarragon_node/src/feed.rs
+++ b/crates/tarragon_node/src/feed.rs
@@ -66,7 +66,7 @@
         let _gone = replies.send(&PeerReply::Feed(FeedItem::Lost)).await;
         return;
     }
-    let (items, mut changes) = node.registry.subscribe();
+    let (items, mut changes) = node.registry.subscribe(node.now());
     for item in items {
         if replies.send(&PeerReply::Feed(item)).await.is_err() {
             return;
@@ -114,7 +114,7 @@
         let _gone = replies.send(&PeerReply::Feed(FeedItem::Lost)).await;
         return;
     }
-    let mut items = node.registry.changes_since(&request.revisions);
+    let mut items = node.registry.changes_since(&request.revisions, node.now());
     items.push(node.registry.ages_item(node.record_ages()));
     for item in items {
         if replies.send(&PeerReply::Feed(item)).await.is_err() {
@@ -234,6 +234,9 @@
             node.confirmations.borrow_mut().record_ages(&record_ages, time_since_boot());
             registry::publish_ages(node);
         }
+        FeedItem::StoreRecovered { ago_ms } => {
+            registry::record_store_recovery(node, Duration::from_millis(u64::from(ago_ms)));
+        }
         FeedItem::Lost => return Err(FeedError::SourceLost),
     }
     Ok(())
@@ -246,7 +249,7 @@
         | FeedItem::Removed { revision, .. }
         | FeedItem::Complete { revision, .. }
         | FeedItem::Alive { revision, .. } => Some(revision.era),
-        FeedItem::Lost => None,
+        FeedItem::StoreRecovered { .. } | FeedItem::Lost => None,
     }
 }
 
--- a/crates/tarragon_node/src/record_sources.rs
+++ b/crates/tarragon_node/src/record_sources.rs
@@ -328,12 +328,12 @@
     if kind != RecordKind::Upstreams {
         return;
     }
+    if !is_unavailable {
+        registry::record_store_answer(node);
+    }
     if !node.store_health.record_availability(!is_unavailable) {
         return;
     }
-    if !is_unavailable {
-        node.registry.record_store_recovery(node.now());
-    }
     let kind = store_kind(kind);
     node.events.important(&Event::Store { kind, answers: !is_unavailable, reason: &reason });
 }
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -68,17 +68,20 @@
         FeedItem::Alive { revision: self.revision(RecordKind::Upstreams), record_ages }
     }
 
-    /// Records that the store answers again after an outage.
-    pub fn record_store_recovery(&self, now: Duration) {
-        self.store_recovered_at.set(now);
+    /// Returns an item that tells of the store's return, while removals are deferred for it.
+    fn recovery_item(&self, now: Duration) -> Option<FeedItem> {
+        let recovered_at = self.store_recovered_at.get();
+        let ago = now.saturating_sub(recovered_at);
+        let is_recent = !recovered_at.is_zero() && ago < REREGISTRATION_GRACE;
+        is_recent.then_some(FeedItem::StoreRecovered { ago_ms: ago.as_millis() as u32 })
     }
 
     /// Returns the records that changed after these revisions, one for each kind, and what a host
     /// needs to know to remove upstreams that are gone. Records of other kinds are never removed
     /// for long, and a list of all their names would be long.
-    pub fn changes_since(&self, revisions: &[Revision; 4]) -> Vec<FeedItem> {
+    pub fn changes_since(&self, revisions: &[Revision; 4], now: Duration) -> Vec<FeedItem> {
         let replicas = self.replicas.borrow();
-        let mut items = Vec::new();
+        let mut items = Vec::from_iter(self.recovery_item(now));
         for (kind, replica) in replicas.iter() {
             let since = revisions[*kind as usize];
             let changed = replica.iter().filter(|(_, record)| record.revision > since);
@@ -125,8 +128,8 @@
     }
 
     /// Returns every record, and a channel that delivers the changes after them.
-    pub fn subscribe(&self) -> (Vec<FeedItem>, mpsc::Receiver<FeedItem>) {
-        let mut items = Vec::new();
+    pub fn subscribe(&self, now: Duration) -> (Vec<FeedItem>, mpsc::Receiver<FeedItem>) {
+        let mut items = Vec::from_iter(self.recovery_item(now));
         for (kind, replica) in self.replicas.borrow().iter() {
             items.extend(replica.iter().map(|(name, record)| FeedItem::Put {
                 kind: *kind,
@@ -169,6 +172,25 @@
     node.registry.publish(&node.registry.ages_item(node.record_ages()));
 }
 
+/// Records that the store has answered this host. If no host has had an answer for so long that this
+/// one would know, the store was away.
+pub fn record_store_answer(node: &Node) {
+    let budget = node.record_bounds().budget(RecordKind::Upstreams);
+    let age = node.record_ages().of(RecordKind::Upstreams);
+    if age.is_some_and(|age| age >= budget.longest_time(1)) {
+        record_store_recovery(node, Duration::ZERO);
+    }
+}
+
+/// Records that the store first answered some time ago after it was unavailable to all hosts.
+pub fn record_store_recovery(node: &Node, ago: Duration) {
+    let recovered_at = node.now().saturating_sub(ago);
+    if recovered_at > node.registry.store_recovered_at.get() {
+        node.registry.store_recovered_at.set(recovered_at);
+        node.registry.publish(&FeedItem::StoreRecovered { ago_ms: ago.as_millis() as u32 });
+    }
+}
+
 /// Applies a record read from the store.
 pub fn apply_stored_record(node: &SharedNode, kind: RecordKind, object: &StoredObject) {
     let StoredObject { name, revision, value } = object;
--- a/crates/tarragon_node/src/store_return.rs
+++ b/crates/tarragon_node/src/store_return.rs
@@ -1,8 +1,9 @@
 //! Notices that the store has returned from an older copy of itself.
 
-use crate::{events::Event, node::SharedNode};
+use crate::{events::Event, node::SharedNode, registry};
 use rail_revision::Era;
 use rail_runtime::time_since_boot;
+use std::time::Duration;
 
 /// Records the era of a record or of a response of the store. When the store has returned from an
 /// older copy, watches start again, and engines that this host does not keep must be claimed anew.
@@ -16,7 +17,7 @@
     let is_return = node.return_guard.borrow_mut().record_era(era, kept, time_since_boot());
     if is_return {
         node.metrics.store_era.set(i64::from(era));
-        node.registry.record_store_recovery(node.now());
+        registry::record_store_recovery(node, Duration::ZERO);
         node.store_health.restart_watches();
         node.events.important(&Event::StoreReturned { era, kept_engines: engines });
     }
