A host that has lost the store doesn't follow it again at once

A host remembers for 4 s that it has lost the store, unless the store answers a call in that time. An answer is now an answer: to begin to follow the store no longer counts as one.

Test: a_root_returns_to_the_store_that_it_has_just_lost.

--- a/crates/rail_member/src/source.rs
+++ b/crates/rail_member/src/source.rs
@@ -19,7 +19,7 @@
 const HOSTS_PER_ROOT: usize = 32;
 /// Maximum number of hosts that one host feeds.
 pub const MAX_FEEDS_PER_HOST: usize = 4;
-/// Time for which a host that failed as a source is not chosen again.
+/// Time for which a host, or the store, that failed as a source is not chosen again.
 const FAILED_SOURCE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Origin of the records that a host receives.
@@ -58,12 +58,19 @@
     zone: String,
     /// Hosts that failed as a source, each with the time until which it is not chosen again.
     avoided_until: HashMap<String, Duration>,
+    /// The same for the store.
+    store_avoided_until: Duration,
 }
 
 impl SourceChooser {
     /// Creates the chooser of the given host.
     pub fn new(host: &str, zone: &str) -> Self {
-        Self { host: host.to_owned(), zone: zone.to_owned(), avoided_until: HashMap::new() }
+        Self {
+            host: host.to_owned(),
+            zone: zone.to_owned(),
+            avoided_until: HashMap::new(),
+            store_avoided_until: Duration::ZERO,
+        }
     }
 
     /// Records that a host failed as a source, which is then not chosen for 4 seconds.
@@ -71,6 +78,12 @@
         self.avoided_until.insert(host.to_owned(), now + FAILED_SOURCE_TIMEOUT);
     }
 
+    /// Records that the store failed as a source. It is not chosen for 4 seconds, unless it answers
+    /// before or there is no other source.
+    pub fn avoid_store(&mut self, now: Duration) {
+        self.store_avoided_until = now + FAILED_SOURCE_TIMEOUT;
+    }
+
     /// Chooses a source among the live hosts, which include this one.
     ///
     /// A parent whose records are old is chosen only while no host has recent ones, as at the start
@@ -85,7 +98,9 @@
         let ordered = ordered_hosts_of_zone(live, &self.zone);
         let own_position = ordered.iter().position(|host| *host == self.host);
         let root_count = root_count_of_zone(live, &self.zone);
-        if own_position.is_none_or(|position| position < root_count) && !store.is_failing {
+        let is_store_avoided = now < self.store_avoided_until && !store.answers;
+        let uses_store = !store.is_failing && !is_store_avoided;
+        if own_position.is_none_or(|position| position < root_count) && uses_store {
             return Source::Store;
         }
         let parent = own_position
--- a/crates/rail_member/tests/small_hosts.rs
+++ b/crates/rail_member/tests/small_hosts.rs
@@ -329,3 +329,18 @@
     }
     assert_eq!(chooser.choose(&live, answers, ms(0)), Source::Host(parent));
 }
+
+/// Guards against roots that lose the store and choose it again at once, over and over.
+#[test]
+fn a_root_returns_to_the_store_that_it_has_just_lost() {
+    let live = [candidate("a", false), candidate("b", true)];
+    let mut chooser = SourceChooser::new("a", "z");
+    chooser.avoid_store(ms(1000));
+    // Nothing is known of calls any more once the store is not followed.
+    let unknown = StoreAccess::default();
+    assert_eq!(chooser.choose(&live, unknown, ms(1001)), Source::Host("b".to_owned()));
+    assert_eq!(chooser.choose(&live, unknown, ms(5000)), Source::Store, "it is tried again later");
+    chooser.avoid_store(ms(6000));
+    let answers = StoreAccess { is_failing: false, answers: true };
+    assert_eq!(chooser.choose(&live, answers, ms(6001)), Source::Store, "it answers again");
+}
--- a/crates/tarragon_node/src/record_sources.rs
+++ b/crates/tarragon_node/src/record_sources.rs
@@ -162,6 +162,9 @@
             break;
         }
     }
+    if node.store_health.is_failing(node.now()) {
+        chooser.borrow_mut().avoid_store(node.now());
+    }
     node.store_health.is_following_store.set(false);
     drop(watches);
 }
--- a/crates/tarragon_node/src/store_health.rs
+++ b/crates/tarragon_node/src/store_health.rs
@@ -15,6 +15,7 @@
 pub struct StoreHealth {
     /// Whether the watches of all kinds run.
     pub is_following_store: Cell<bool>,
+    followed_since: Cell<Duration>,
     last_answer_at: Cell<Option<Duration>>,
     /// Consecutive calls that the store did not answer.
     consecutive_failures: Cell<u32>,
@@ -27,7 +28,7 @@
 impl StoreHealth {
     /// Forgets earlier results, before the store is followed again.
     pub fn start_following(&self, now: Duration) {
-        self.last_answer_at.set(Some(now));
+        self.followed_since.set(now);
         self.consecutive_failures.set(0);
         self.is_following_store.set(true);
     }
@@ -55,7 +56,8 @@
 
     /// Returns whether recent calls failed, or got no answer for long.
     pub fn is_failing(&self, now: Duration) -> bool {
-        let is_silent = self.last_answer_at.get().is_none_or(|at| now >= at + STORE_LOST_TIMEOUT);
+        let last_sign_at = self.last_answer_at.get().max(Some(self.followed_since.get()));
+        let is_silent = last_sign_at.is_none_or(|at| now >= at + STORE_LOST_TIMEOUT);
         self.is_following_store.get()
             && (is_silent || self.consecutive_failures.get() >= MAX_CONSECUTIVE_FAILURES)
     }
