The line of an order shows which places of the engine its owner counted on

Before, the line showed the order and its answer only: a conflict that the owner took for an order carried out looked like one that it didn't, and nothing showed how many places it counted as occupied, how many of those an answer or a report had shown, or how old that report was.

--- a/crates/rail_place/src/owner/adapter.rs
+++ b/crates/rail_place/src/owner/adapter.rs
@@ -35,6 +35,8 @@
     pub(super) not_ready_count: u32,
     /// Version of its weights, if one is known.
     pub(super) version: Option<u64>,
+    /// Whether a report or an answer to its load has shown that it occupies its slot.
+    pub(super) is_proven: bool,
     /// Granted requests that have not ended.
     pub(super) in_use: u32,
     /// Decayed number of requests as of `used_at`.
--- a/crates/rail_place/src/owner/estimate.rs
+++ b/crates/rail_place/src/owner/estimate.rs
@@ -3,7 +3,7 @@
 use super::{
     EngineOwner, MAX_CONCURRENT_LOADS, REPORT_LAG, UNTRIED_LOAD_TIME,
     adapter::{AdapterEntry, LoadState},
-    message::{AdapterPath, StartRequest},
+    message::{AdapterPath, EngineRoom, StartRequest},
 };
 use std::time::Duration;
 
@@ -73,6 +73,16 @@
         }
     }
 
+    /// Returns what this owner assumes about the engine's adapter slots.
+    pub fn room(&self, now: Duration) -> EngineRoom {
+        EngineRoom {
+            occupied: self.adapters.len(),
+            proven: self.adapters.values().filter(|entry| entry.is_proven).count(),
+            assumed_orders: self.assumed_orders,
+            report_age: self.reported_at.map(|requested_at| now.saturating_sub(requested_at)),
+        }
+    }
+
     /// Reports whether an adapter slot is free or can be freed by an eviction.
     pub(super) fn can_free_slot(&self, now: Duration) -> bool {
         self.adapters.len() < self.adapter_slots || self.select_eviction(now).is_some()
--- a/crates/rail_place/src/owner/message.rs
+++ b/crates/rail_place/src/owner/message.rs
@@ -111,6 +111,20 @@
     pub is_busy: bool,
 }
 
+/// What an owner assumes about the adapter slots of its engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EngineRoom {
+    /// Adapter slots that count as occupied, with those of loads that were or will be ordered.
+    pub occupied: usize,
+    /// Occupied slots that a report or an answer to an order has shown.
+    pub proven: usize,
+    /// Orders since the last applied report that count as carried out without an answer that says
+    /// so.
+    pub assumed_orders: u32,
+    /// Time since the last applied report was requested, if there was one.
+    pub report_age: Option<Duration>,
+}
+
 /// Counters of an owner since its creation.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OwnerCounts {
--- a/crates/rail_place/src/owner/mod.rs
+++ b/crates/rail_place/src/owner/mod.rs
@@ -12,8 +12,8 @@
 mod orders;
 
 pub use message::{
-    AdapterPath, AdapterStatus, GrantOutcome, OrderKind, OrderResult, OwnerCommand, OwnerCounts,
-    OwnerReport, StartId, StartRequest,
+    AdapterPath, AdapterStatus, EngineRoom, GrantOutcome, OrderKind, OrderResult, OwnerCommand,
+    OwnerCounts, OwnerReport, StartId, StartRequest,
 };
 
 use adapter::{AdapterEntry, LoadState};
@@ -75,6 +75,10 @@
     has_unanswered_copy: bool,
     consecutive_conflicts: u32,
     consecutive_unanswered: u32,
+    /// Orders since the last applied report that count as carried out without an answer.
+    assumed_orders: u32,
+    /// When the last applied report was requested.
+    reported_at: Option<Duration>,
     /// Earliest time of the next order.
     order_at: Duration,
     awaits_report: bool,
@@ -109,6 +113,8 @@
             has_unanswered_copy: false,
             consecutive_conflicts: 0,
             consecutive_unanswered: 0,
+            assumed_orders: 0,
+            reported_at: None,
             order_at: Duration::ZERO,
             awaits_report: false,
             report_at: Duration::ZERO,
@@ -223,6 +229,8 @@
             return;
         }
         self.consecutive_unanswered = 0;
+        self.assumed_orders = 0;
+        self.reported_at = Some(requested_at);
         self.models.clone_from(&report.models);
         if let Some((model, load_deadline)) = &self.loading_model {
             let is_done = self.models.contains(model) || (!report.is_busy && now > *load_deadline);
@@ -245,11 +253,13 @@
                 was_tried: true,
                 not_ready_count: 0,
                 version: Some(*version),
+                is_proven: true,
                 in_use: 0,
                 demand: 0.0,
                 used_at: now,
             });
             entry.version = entry.version.max(Some(*version));
+            entry.is_proven = true;
         }
     }
 
@@ -353,6 +363,7 @@
             was_tried: false,
             not_ready_count: 0,
             version,
+            is_proven: false,
             in_use: 0,
             demand: 1.0,
             used_at: now,
--- a/crates/rail_place/src/owner/orders.rs
+++ b/crates/rail_place/src/owner/orders.rs
@@ -45,6 +45,11 @@
                 self.consecutive_conflicts = 0;
                 self.has_unanswered_copy = false;
                 self.accepted_orders = self.accepted_orders.map(|count| count + 1);
+                if let OrderKind::Load(path, _) = &order
+                    && let Some(entry) = self.adapters.get_mut(path)
+                {
+                    entry.is_proven = true;
+                }
                 self.apply_order(order, now);
             }
             // The same order is sent again with the same count, so at most one copy is carried out.
@@ -57,6 +62,7 @@
             // carried out.
             OrderResult::Conflict if self.has_unanswered_copy => {
                 self.has_unanswered_copy = false;
+                self.assumed_orders += 1;
                 self.accepted_orders = self.accepted_orders.map(|count| count + 1);
                 self.apply_order(order, now);
             }
--- a/crates/tarragon_node/src/engines.rs
+++ b/crates/tarragon_node/src/engines.rs
@@ -385,6 +385,7 @@
         expected_order_count: Some(expected),
         upstream_id: &driver.id,
     };
+    let room = driver.owner.borrow().room(node.now());
     let request = order_request(&address.to_string(), &requested_order(order), &preconditions);
     let exchange = async {
         let mut response = node.links.send(address, request, MAX_CONNECTION_IDLE).await?;
@@ -419,6 +420,10 @@
         expected,
         fence,
         outcome,
+        occupied: room.occupied,
+        proven: room.proven,
+        assumed_orders: room.assumed_orders,
+        report_age_ms: room.report_age.map(|age| age.as_millis() as u64),
     });
     result
 }
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -51,6 +51,11 @@
         expected: u64,
         fence: u64,
         outcome: &'a str,
+        /// What the owner assumed about the engine's adapter slots when it sent the order.
+        occupied: usize,
+        proven: usize,
+        assumed_orders: u32,
+        report_age_ms: Option<u64>,
     },
     /// The owner of an engine refused a request, or granted it after a noticeable wait.
     Place {
