An owner orders a load only where a slot is shown to be free

Its owner took a conflict after an unanswered copy for "carried out", and an answer 200 to a load for a counted order. Its count ran ahead of the engine's (29 against 16), and copies that were carried out late waited there for counts that the engine reached when it was full. It also took an unload that waits for runs for a free slot.

Now such a conflict leads to a report, a load that already holds doesn't advance the count, the slot of an unload that waits stays occupied until a report shows it free, and a load whose slot isn't free isn't sent.

Replaced in owner::an_order_without_an_answer_is_sent_again_under_the_same_count: it demanded that a conflict count as carried out and that the next order go out under the next count at once. The traces show conflicts without that. It now demands a report first, no order until the report, and the same last part.

--- a/crates/rail_place/src/owner/adapter.rs
+++ b/crates/rail_place/src/owner/adapter.rs
@@ -24,6 +24,17 @@
     Unloading,
 }
 
+/// Whether an adapter occupies a slot of the engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Occupancy {
+    /// Its load was not sent yet.
+    None,
+    /// Its load was sent, so it may.
+    Possible,
+    /// A report or an answer to its load has shown it.
+    Proven,
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct AdapterEntry {
     pub(super) state: LoadState,
@@ -35,8 +46,7 @@
     pub(super) not_ready_count: u32,
     /// Version of its weights, if one is known.
     pub(super) version: Option<u64>,
-    /// Whether a report or an answer to its load has shown that it occupies its slot.
-    pub(super) is_proven: bool,
+    pub(super) occupancy: Occupancy,
     /// Granted requests that have not ended.
     pub(super) in_use: u32,
     /// Decayed number of requests as of `used_at`.
--- a/crates/rail_place/src/owner/estimate.rs
+++ b/crates/rail_place/src/owner/estimate.rs
@@ -2,7 +2,7 @@
 
 use super::{
     EngineOwner, MAX_CONCURRENT_LOADS, REPORT_LAG, UNTRIED_LOAD_TIME,
-    adapter::{AdapterEntry, LoadState},
+    adapter::{AdapterEntry, LoadState, Occupancy},
     message::{AdapterPath, EngineRoom, StartRequest},
 };
 use std::time::Duration;
@@ -76,9 +76,16 @@
     /// Returns what this owner assumes about the engine's adapter slots.
     pub fn room(&self, now: Duration) -> EngineRoom {
         EngineRoom {
-            occupied: self.adapters.len(),
-            proven: self.adapters.values().filter(|entry| entry.is_proven).count(),
-            assumed_orders: self.assumed_orders,
+            occupied: self
+                .adapters
+                .values()
+                .filter(|entry| entry.occupancy != Occupancy::None)
+                .count(),
+            proven: self
+                .adapters
+                .values()
+                .filter(|entry| entry.occupancy == Occupancy::Proven)
+                .count(),
             report_age: self.reported_at.map(|requested_at| now.saturating_sub(requested_at)),
         }
     }
--- a/crates/rail_place/src/owner/message.rs
+++ b/crates/rail_place/src/owner/message.rs
@@ -73,8 +73,12 @@
 /// Result of sending an order to the engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderResult {
-    /// The engine accepted the order, or it was fulfilled already.
+    /// The engine accepted the order; an unload is complete.
     Accepted,
+    /// A load was fulfilled already; the engine doesn't count it.
+    Held,
+    /// The engine accepted an unload, which waits for requests that use the adapter.
+    Pending,
     /// The expected count of orders differs from the engine's, or the engine is busy.
     Conflict,
     /// No answer arrived; the order may have been carried out, or may be carried out later.
@@ -114,13 +118,10 @@
 /// What an owner assumes about the adapter slots of its engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct EngineRoom {
-    /// Adapter slots that count as occupied, with those of loads that were or will be ordered.
+    /// Adapter slots that count as occupied, with those of loads that were sent.
     pub occupied: usize,
     /// Occupied slots that a report or an answer to an order has shown.
     pub proven: usize,
-    /// Orders since the last applied report that count as carried out without an answer that says
-    /// so.
-    pub assumed_orders: u32,
     /// Time since the last applied report was requested, if there was one.
     pub report_age: Option<Duration>,
 }
--- a/crates/rail_place/src/owner/mod.rs
+++ b/crates/rail_place/src/owner/mod.rs
@@ -16,7 +16,7 @@
     OwnerCounts, OwnerReport, StartId, StartRequest,
 };
 
-use adapter::{AdapterEntry, LoadState};
+use adapter::{AdapterEntry, LoadState, Occupancy};
 use estimate::{SLOT_WAIT_ESTIMATE, prompt_time};
 use std::{
     collections::{BTreeMap, HashMap},
@@ -75,8 +75,6 @@
     has_unanswered_copy: bool,
     consecutive_conflicts: u32,
     consecutive_unanswered: u32,
-    /// Orders since the last applied report that count as carried out without an answer.
-    assumed_orders: u32,
     /// When the last applied report was requested.
     reported_at: Option<Duration>,
     /// Earliest time of the next order.
@@ -113,7 +111,6 @@
             has_unanswered_copy: false,
             consecutive_conflicts: 0,
             consecutive_unanswered: 0,
-            assumed_orders: 0,
             reported_at: None,
             order_at: Duration::ZERO,
             awaits_report: false,
@@ -229,7 +226,6 @@
             return;
         }
         self.consecutive_unanswered = 0;
-        self.assumed_orders = 0;
         self.reported_at = Some(requested_at);
         self.models.clone_from(&report.models);
         if let Some((model, load_deadline)) = &self.loading_model {
@@ -238,13 +234,17 @@
                 self.loading_model = None;
             }
         }
+        let is_resync = self.accepted_orders.is_none();
         if self.sent.is_none() && self.orders.is_empty() {
             self.accepted_orders = Some(report.accepted_orders);
         }
         let reported: HashMap<&AdapterPath, u64> =
             report.adapters.iter().map(|(path, version)| (path, *version)).collect();
+        let pending: Vec<AdapterPath> = self.pending_unloads().cloned().collect();
         self.adapters.retain(|path, entry| {
-            reported.contains_key(path) || entry.in_use > 0 || entry.state != LoadState::Resident
+            let is_expected =
+                !is_resync && entry.state != LoadState::Resident && !pending.contains(path);
+            reported.contains_key(path) || entry.in_use > 0 || is_expected
         });
         for (path, version) in &report.adapters {
             let entry = self.adapters.entry(path.clone()).or_insert_with(|| AdapterEntry {
@@ -253,13 +253,13 @@
                 was_tried: true,
                 not_ready_count: 0,
                 version: Some(*version),
-                is_proven: true,
+                occupancy: Occupancy::Proven,
                 in_use: 0,
                 demand: 0.0,
                 used_at: now,
             });
             entry.version = entry.version.max(Some(*version));
-            entry.is_proven = true;
+            entry.occupancy = Occupancy::Proven;
         }
     }
 
@@ -303,8 +303,11 @@
         if may_order && self.sent.is_none() && now >= self.order_at {
             commands.extend(self.next_order());
         }
-        let needs_report = self.accepted_orders.is_none() || self.loading_model.is_some();
-        if needs_report && !self.awaits_report && now >= self.report_at && self.sent.is_none() {
+        if self.needs_report()
+            && !self.awaits_report
+            && now >= self.report_at
+            && self.sent.is_none()
+        {
             self.awaits_report = true;
             self.report_at = now + REPORT_INTERVAL;
             commands.push(OwnerCommand::Report);
@@ -320,12 +323,18 @@
             LoadState::Resident | LoadState::Unloading => None,
         });
         let start = self.waiting.values().map(|waiting| waiting.request.start_deadline);
-        let report = (self.accepted_orders.is_none() || self.loading_model.is_some())
-            .then_some(self.report_at);
+        let report = self.needs_report().then_some(self.report_at);
         let order = (!self.orders.is_empty() && self.order_at > now).then_some(self.order_at);
         loads.chain(start).chain(report).chain(order).min().unwrap_or(now + Duration::from_secs(1))
     }
 
+    /// Reports whether the count of orders, the model or a free slot is to be read from a report.
+    fn needs_report(&self) -> bool {
+        self.accepted_orders.is_none()
+            || self.loading_model.is_some()
+            || self.pending_unloads().next().is_some()
+    }
+
     /// Counts a use of an adapter, or orders its load if an adapter slot can be freed for it.
     fn ensure_load(&mut self, path: &str, now: Duration) {
         if let Some(entry) = self.adapters.get_mut(path) {
@@ -363,7 +372,7 @@
             was_tried: false,
             not_ready_count: 0,
             version,
-            is_proven: false,
+            occupancy: Occupancy::None,
             in_use: 0,
             demand: 1.0,
             used_at: now,
--- a/crates/rail_place/src/owner/orders.rs
+++ b/crates/rail_place/src/owner/orders.rs
@@ -2,7 +2,7 @@
 
 use super::{
     EngineOwner, REPORT_INTERVAL,
-    adapter::LoadState,
+    adapter::{LoadState, Occupancy},
     message::{AdapterPath, OrderKind, OrderResult, OwnerCommand},
 };
 use std::time::Duration;
@@ -33,14 +33,36 @@
         let Some(order) = self.sent.take() else { return };
         self.changed_at = now;
         if self.accepted_orders.is_none() {
-            // The engine restarted while the order was on its way, so its state is unknown.
+            // The count was discarded while the order was on its way, so its effect is unknown.
+            self.orders.insert(0, order);
+            self.request_resync();
             return;
         }
         self.consecutive_unanswered = match result {
             OrderResult::Unknown | OrderResult::NotSent => self.consecutive_unanswered + 1,
-            OrderResult::Accepted | OrderResult::Conflict | OrderResult::Refused => 0,
+            OrderResult::Accepted
+            | OrderResult::Held
+            | OrderResult::Pending
+            | OrderResult::Conflict
+            | OrderResult::Refused => 0,
         };
         match result {
+            // The engine doesn't count the unload of an adapter that it doesn't hold.
+            OrderResult::Accepted if self.is_unproven_unload(&order) => {
+                self.apply_order(order, now);
+                self.request_resync();
+            }
+            OrderResult::Held => {
+                self.consecutive_conflicts = 0;
+                self.has_unanswered_copy = false;
+                self.apply_order(order, now);
+            }
+            // The entry stays until a report shows that the slot is free.
+            OrderResult::Pending => {
+                self.consecutive_conflicts = 0;
+                self.has_unanswered_copy = false;
+                self.accepted_orders = self.accepted_orders.map(|count| count + 1);
+            }
             OrderResult::Accepted => {
                 self.consecutive_conflicts = 0;
                 self.has_unanswered_copy = false;
@@ -48,7 +70,7 @@
                 if let OrderKind::Load(path, _) = &order
                     && let Some(entry) = self.adapters.get_mut(path)
                 {
-                    entry.is_proven = true;
+                    entry.occupancy = Occupancy::Proven;
                 }
                 self.apply_order(order, now);
             }
@@ -58,15 +80,12 @@
                 self.orders.insert(0, order);
             }
             OrderResult::NotSent => self.orders.insert(0, order),
-            // Only this owner sends orders, so the conflict shows that the unanswered copy was
-            // carried out.
-            OrderResult::Conflict if self.has_unanswered_copy => {
-                self.has_unanswered_copy = false;
-                self.assumed_orders += 1;
-                self.accepted_orders = self.accepted_orders.map(|count| count + 1);
-                self.apply_order(order, now);
-            }
-            OrderResult::Conflict if self.consecutive_conflicts < MAX_CONSECUTIVE_CONFLICTS => {
+            // A conflict doesn't show whether the unanswered copy was carried out. Orders under a
+            // count that the engine hasn't reached would be carried out when it reaches it.
+            OrderResult::Conflict
+                if !self.has_unanswered_copy
+                    && self.consecutive_conflicts < MAX_CONSECUTIVE_CONFLICTS =>
+            {
                 self.consecutive_conflicts += 1;
                 self.order_at = now + CONFLICT_DELAY;
                 self.expect_slower_loads(&order, now);
@@ -84,11 +103,48 @@
         if self.orders.is_empty() {
             return None;
         }
+        if self.lacks_room(&self.orders[0]) {
+            // Without an unload that waits, only a report can show whether there is room.
+            if self.pending_unloads().next().is_none() {
+                self.request_resync();
+            }
+            return None;
+        }
         let order = self.orders.remove(0);
+        if let OrderKind::Load(path, _) = &order
+            && let Some(entry) = self.adapters.get_mut(path)
+        {
+            entry.occupancy = entry.occupancy.max(Occupancy::Possible);
+        }
         self.sent = Some(order.clone());
         Some(OwnerCommand::Order(order, expected))
     }
 
+    /// Reports whether an order is a load that may exceed the engine's adapter slots.
+    fn lacks_room(&self, order: &OrderKind) -> bool {
+        let OrderKind::Load(path, _) = order else { return false };
+        let is_placed =
+            self.adapters.get(path).is_some_and(|entry| entry.occupancy != Occupancy::None);
+        !is_placed && self.room(Duration::ZERO).occupied >= self.adapter_slots
+    }
+
+    /// Reports whether an order unloads an adapter that the engine wasn't shown to hold.
+    fn is_unproven_unload(&self, order: &OrderKind) -> bool {
+        let OrderKind::Unload(path) = order else { return false };
+        self.adapters.get(path).is_none_or(|entry| entry.occupancy != Occupancy::Proven)
+    }
+
+    /// Returns the adapters whose unload the engine accepted and may not have completed.
+    pub(super) fn pending_unloads(&self) -> impl Iterator<Item = &AdapterPath> {
+        let is_queued = |path: &AdapterPath| {
+            let mut orders = self.orders.iter().chain(&self.sent);
+            orders.any(|order| matches!(order, OrderKind::Unload(unloaded) if unloaded == path))
+        };
+        let unloading =
+            self.adapters.iter().filter(|(_, entry)| entry.state == LoadState::Unloading);
+        unloading.map(|(path, _)| path).filter(move |path| !is_queued(path))
+    }
+
     /// Updates the tracked state for an order that the engine carries out.
     pub(super) fn apply_order(&mut self, order: OrderKind, now: Duration) {
         match order {
--- a/crates/rail_place/tests/engine_room.rs
+++ b/crates/rail_place/tests/engine_room.rs
@@ -358,10 +358,12 @@
 }
 
 /// Maps an answer as the host that sends the orders does.
-fn order_result(_order: &OrderKind, answer: Answer) -> OrderResult {
-    match answer {
-        Answer::Done | Answer::Started => OrderResult::Accepted,
-        Answer::Conflict => OrderResult::Conflict,
+fn order_result(order: &OrderKind, answer: Answer) -> OrderResult {
+    match (order, answer) {
+        (_, Answer::Conflict) => OrderResult::Conflict,
+        (OrderKind::Load(..), Answer::Done) => OrderResult::Held,
+        (OrderKind::Unload(_), Answer::Started) => OrderResult::Pending,
+        (_, Answer::Done | Answer::Started) => OrderResult::Accepted,
     }
 }
 
--- a/crates/rail_place/tests/owner.rs
+++ b/crates/rail_place/tests/owner.rs
@@ -142,15 +142,20 @@
     assert_eq!(owner.poll(ms(1), true), [OwnerCommand::Order(load("a"), 0)]);
     owner.finish_order(OrderResult::Unknown, ms(600));
     assert_eq!(owner.poll(ms(600), true), [OwnerCommand::Order(load("a"), 0)]);
-    // The conflict shows that the first copy was carried out, so no report is requested.
+    // The conflict may also mean that another order is in progress, so it doesn't show that the first
+    // copy was carried out: a report must, before any order under another count.
     owner.finish_order(OrderResult::Conflict, ms(604));
     owner.request_start(start_request(2, "b", ms(9000)), ms(605)).expect("the load ends in time");
-    assert_eq!(owner.poll(ms(605), true), [OwnerCommand::Order(load("b"), 1)]);
-    // If the count is wrong nevertheless, it is read from a report after repeated conflicts.
+    assert_eq!(owner.poll(ms(605), true), [OwnerCommand::Report]);
+    assert!(owner.poll(ms(900), true).is_empty(), "no order before the report");
+    owner.apply_report(&report(&[("a", 1)], 1), ms(1100), ms(1104));
+    let loaded = [OwnerCommand::Grant(1, None), OwnerCommand::Order(load("b"), 1)];
+    assert_eq!(owner.poll(ms(1105), true), loaded);
+    // A wrong count is read from a report after repeated conflicts.
     let mut commands = Vec::new();
     for attempt in 0..13 {
-        owner.finish_order(OrderResult::Conflict, ms(610 + attempt * 40));
-        commands = owner.poll(ms(645 + attempt * 40), true);
+        owner.finish_order(OrderResult::Conflict, ms(1110 + attempt * 40));
+        commands = owner.poll(ms(1145 + attempt * 40), true);
     }
     assert_eq!(commands, [OwnerCommand::Report]);
 }
--- a/crates/tarragon_node/src/engines.rs
+++ b/crates/tarragon_node/src/engines.rs
@@ -399,6 +399,12 @@
         Err(_) | Ok(Err(SendError::Lost)) => (OrderResult::Unknown, "no_answer"),
         Ok(Err(SendError::NotSent)) => (OrderResult::NotSent, "not_sent"),
         Ok(Ok(outcome)) => match outcome {
+            OrderOutcome::Accepted if matches!(order, OrderKind::Unload(_)) => {
+                (OrderResult::Pending, "accepted")
+            }
+            OrderOutcome::Completed if matches!(order, OrderKind::Load(..)) => {
+                (OrderResult::Held, "holds")
+            }
             OrderOutcome::Accepted => (OrderResult::Accepted, "accepted"),
             OrderOutcome::Completed => (OrderResult::Accepted, "holds"),
             OrderOutcome::Conflict => (OrderResult::Conflict, "conflict"),
@@ -422,7 +428,6 @@
         outcome,
         occupied: room.occupied,
         proven: room.proven,
-        assumed_orders: room.assumed_orders,
         report_age_ms: room.report_age.map(|age| age.as_millis() as u64),
     });
     result
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -54,7 +54,6 @@
         /// What the owner assumed about the engine's adapter slots when it sent the order.
         occupied: usize,
         proven: usize,
-        assumed_orders: u32,
         report_age_ms: Option<u64>,
     },
     /// The owner of an engine refused a request, or granted it after a noticeable wait.
