--- a/crates/rail_place/src/owner/estimate.rs
+++ b/crates/rail_place/src/owner/estimate.rs
@@ -2,8 +2,8 @@
 
 use super::{
     EngineOwner, MAX_CONCURRENT_LOADS, REPORT_LAG, UNTRIED_LOAD_TIME,
-    adapter::{AdapterEntry, LoadState},
-    message::{AdapterPath, StartRequest},
+    adapter::{AdapterEntry, LoadState, Occupancy},
+    message::{AdapterPath, EngineRoom, StartRequest},
 };
 use std::time::Duration;
 
@@ -73,6 +73,23 @@
         }
     }
 
+    /// Returns what this owner assumes about the engine's adapter slots.
+    pub fn room(&self, now: Duration) -> EngineRoom {
+        EngineRoom {
+            occupied: self
+                .adapters
+                .values()
+                .filter(|entry| entry.occupancy != Occupancy::None)
+                .count(),
+            proven: self
+                .adapters
+                .values()
+                .filter(|entry| entry.occupancy == Occupancy::Proven)
+                .count(),
+            report_age: self.reported_at.map(|requested_at| now.saturating_sub(requested_at)),
+        }
+    }
+
     /// Reports whether an adapter slot is free or can be freed by an eviction.
     pub(super) fn can_free_slot(&self, now: Duration) -> bool {
         self.adapters.len() < self.adapter_slots || self.select_eviction(now).is_some()
--- a/crates/tarragon_node/src/engines.rs
+++ b/crates/tarragon_node/src/engines.rs
@@ -385,6 +385,7 @@
         expected_order_count: Some(expected),
         upstream_id: &driver.id,
     };
+    let room = driver.owner.borrow().room(node.now());
     let request = order_request(&address.to_string(), &requested_order(order), &preconditions);
     let exchange = async {
         let mut response = node.links.send(address, request, MAX_CONNECTION_IDLE).await?;
@@ -398,6 +399,12 @@
         Err(_) | Ok(Err(SendError::Lost)) => (OrderResult::Unknown, "no_answer"),
         Ok(Err(SendError::NotSent)) => (OrderResult::NotSent, "not_sent"),
         Ok(Ok(outcome)) => match outcome {
+            OrderOutcome::Accepted if matches!(order, OrderKind::Unload(_)) => {
+                (OrderResult::Pending, "accepted")
+            }
+            OrderOutcome::Completed if matches!(order, OrderKind::Load(..)) => {
+                (OrderResult::Held, "holds")
+            }
             OrderOutcome::Accepted => (OrderResult::Accepted, "accepted"),
             OrderOutcome::Completed => (OrderResult::Accepted, "holds"),
             OrderOutcome::Conflict => (OrderResult::Conflict, "conflict"),
@@ -419,6 +426,9 @@
         expected,
         fence,
         outcome,
+        occupied: room.occupied,
+        proven: room.proven,
+        report_age_ms: room.report_age.map(|age| age.as_millis() as u64),
     });
     result
 }
