One kind of record that can't be confirmed doesn't withhold the others

Found by review: a host answered another one only if it had news of every kind that was old there, and was no source unless all its kinds were recent. A kind that no host can confirm, versions for example, would have kept the configuration from hosts that lack it. News of any old kind is an answer, and configuration and upstreams decide whether a host may be followed. By reading; no run shows the fault.

--- a/crates/rail_member/src/refresh.rs
+++ b/crates/rail_member/src/refresh.rs
@@ -58,9 +58,9 @@
     }
 
     /// Returns whether a host with records of some ages has news for one that asked `waited` ago and
-    /// named the ages of its own: every kind that is old there is more recent here.
+    /// named the ages of its own: a kind that is old there is more recent here.
     pub fn has_news(&self, here: &RecordAges, there: &RecordAges, waited: Duration) -> bool {
-        RecordKind::ALL.into_iter().all(|kind| {
+        RecordKind::ALL.into_iter().any(|kind| {
             let budget = self.budget(kind);
             let known = there.of(kind).map(|age| age + waited);
             let is_old = known.is_none_or(|age| age >= budget.refresh_age());
@@ -68,7 +68,7 @@
                 let is_gain = known.is_none_or(|known| age + budget.least_gain() <= known);
                 age < budget.refresh_age() && is_gain
             });
-            !is_old || is_news
+            is_old && is_news
         })
     }
 }
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -170,12 +170,17 @@
 
     /// Returns the kinds of records of this host that are so old that it must ask for newer ones.
     pub fn old_kinds(&self) -> Vec<RecordKind> {
-        self.kinds_older_than(&self.record_ages(), RefreshBudget::refresh_age)
+        let ages = self.record_ages();
+        let is_old = |kind: &RecordKind| !self.is_younger(&ages, *kind, RefreshBudget::refresh_age);
+        RecordKind::ALL.into_iter().filter(is_old).collect()
     }
 
-    /// Returns whether records of these ages are recent enough to follow their host.
+    /// Returns whether records of these ages are recent enough to follow their host. The kinds with
+    /// the shortest bounds decide.
     pub fn are_recent(&self, record_ages: &RecordAges) -> bool {
-        self.kinds_older_than(record_ages, RefreshBudget::recent_age).is_empty()
+        [RecordKind::Config, RecordKind::Upstreams]
+            .into_iter()
+            .all(|kind| self.is_younger(record_ages, kind, RefreshBudget::recent_age))
     }
 
     /// Returns whether this host's records are recent enough for other hosts to follow it.
@@ -183,16 +188,14 @@
         self.are_recent(&self.record_ages())
     }
 
-    fn kinds_older_than(
+    fn is_younger(
         &self,
         record_ages: &RecordAges,
+        kind: RecordKind,
         part: fn(&RefreshBudget) -> Duration,
-    ) -> Vec<RecordKind> {
-        let bounds = self.record_bounds();
-        let is_old = |kind: &RecordKind| {
-            record_ages.of(*kind).is_none_or(|age| age >= part(&bounds.budget(*kind)))
-        };
-        RecordKind::ALL.into_iter().filter(is_old).collect()
+    ) -> bool {
+        let budget = self.record_bounds().budget(kind);
+        record_ages.of(kind).is_some_and(|age| age < part(&budget))
     }
 
     /// Returns whether callers should use this host: it knows routes and upstreams and is not
