Ages of records count the time on their way, and a record is missed by no relay

A root that had lost the store followed a host that it feeds. An age is now told with the time since the request for the feed came in, and the receiver counts from the moment at which it sent that request, so an age is never too young; ages that are no news aren't passed on.

Ages carry the revisions up to which all was sent, and only they advance a follower. Answers name all owners too.

Test: ages_told_in_a_circle_do_not_grow.

--- a/crates/rail_member/src/confirmation.rs
+++ b/crates/rail_member/src/confirmation.rs
@@ -34,10 +34,13 @@
 pub struct Confirmations([Option<Duration>; KINDS]);
 
 impl Confirmations {
-    /// Records that every change of a kind up to `confirmed_at` was received.
-    pub fn record(&mut self, kind: RecordKind, confirmed_at: Duration) {
+    /// Records that every change of a kind up to `confirmed_at` was received, and returns whether
+    /// that was not known.
+    pub fn record(&mut self, kind: RecordKind, confirmed_at: Duration) -> bool {
         let known = &mut self.0[kind as usize];
+        let is_news = *known < Some(confirmed_at);
         *known = (*known).max(Some(confirmed_at));
+        is_news
     }
 
     /// Records the answer to a watch that was sent at `asked_at` and could wait for `max_wait`.
@@ -57,14 +60,19 @@
         self.record(kind, if has_waited { asked_at + max_wait } else { asked_at });
     }
 
-    /// Records the ages that another host told of its own records, after all of these were
-    /// received.
-    pub fn record_ages(&mut self, ages: &RecordAges, now: Duration) {
+    /// Records the ages that another host had of its own records at a time, all of which were
+    /// received, and returns whether any of it is news.
+    ///
+    /// The time may be earlier than the true one, never later: an age that loses the time which it
+    /// spends on its way would stay young for ever among hosts that tell each other.
+    pub fn record_ages(&mut self, ages: &RecordAges, told_at: Duration) -> bool {
+        let mut is_news = false;
         for kind in RecordKind::ALL {
             if let Some(age) = ages.of(kind) {
-                self.record(kind, now.saturating_sub(age));
+                is_news |= self.record(kind, told_at.saturating_sub(age));
             }
         }
+        is_news
     }
 
     /// Returns the age of every kind.
--- a/crates/rail_member/tests/small_hosts.rs
+++ b/crates/rail_member/tests/small_hosts.rs
@@ -1,7 +1,7 @@
 //! Fleets of many small hosts: gossip, choice of sources, and replicas of the store's records.
 
 use rail_member::{
-    HostHeartbeat, HostView, RecordText, Replica, Source, SourceChooser,
+    Confirmations, HostHeartbeat, HostView, RecordKind, RecordText, Replica, Source, SourceChooser,
     host_heartbeat::SUSPECT_AFTER,
     packed::UnpackError,
     replica::PutOutcome,
@@ -344,3 +344,21 @@
     let answers = StoreAccess { is_failing: false, answers: true };
     assert_eq!(chooser.choose(&live, answers, ms(6001)), Source::Store, "it answers again");
 }
+
+/// Guards against hosts that tell each other ages in a circle, in which records stay young for ever.
+#[test]
+fn ages_told_in_a_circle_do_not_grow() {
+    let mut hosts = [Confirmations::default(), Confirmations::default()];
+    hosts[0].record(RecordKind::Config, ms(1000));
+    let mut now = ms(1000);
+    for hop in 0..200 {
+        let ages = hosts[hop % 2].ages(now);
+        // Each host asked the other one at this time, and was told 5 ms later.
+        let told_at = now;
+        now += ms(5);
+        hosts[(hop + 1) % 2].record_ages(&ages, told_at);
+    }
+    assert_eq!(hosts[0].ages(now).of(RecordKind::Config), Some(now - ms(1000)));
+    let ages = hosts[1].ages(now);
+    assert!(!hosts[0].record_ages(&ages, now), "nothing is news to the host that told it");
+}
--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -166,10 +166,14 @@
     },
     /// The sender has sent every change that it knows.
     Alive {
-        /// Revision of the store up to which the sender has upstream records.
-        revision: Revision,
+        /// Revision up to which every change of each kind was sent, in the order of
+        /// [`RecordKind::ALL`].
+        revisions: [Revision; 4],
         /// Ages of the records that were sent before this item.
         record_ages: RecordAges,
+        /// When the sender had these ages, in milliseconds since it received the request for this
+        /// feed.
+        at_ms: u64,
     },
     /// The feed ends: the sender has lost the store, or already feeds enough other hosts.
     Lost,
--- a/crates/tarragon_node/src/feed.rs
+++ b/crates/tarragon_node/src/feed.rs
@@ -60,6 +60,7 @@
 /// Sends every record and then changes, until this host loses the store or the peer closes the
 /// feed.
 pub async fn serve(node: SharedNode, mut replies: ReplySender) {
+    let called_at = time_since_boot();
     let is_recent = wait_until(&node, FRESHNESS_TIMEOUT, Node::has_recent_records).await;
     if !is_recent || node.registry.follower_count() >= MAX_OUTGOING_FEEDS {
         // A failed send means that the peer has left.
@@ -80,12 +81,25 @@
             Err(_elapsed) => keepalive(&node),
         };
         let is_last = item == FeedItem::Lost;
+        let item = since_call(item, called_at);
         if replies.send(&PeerReply::Feed(item)).await.is_err() || is_last {
             return;
         }
     }
 }
 
+/// Replaces the boot time of ages by the time since the request for the feed was received, which the
+/// receiver can relate to its own clock.
+fn since_call(item: FeedItem, called_at: Duration) -> FeedItem {
+    match item {
+        FeedItem::Alive { revisions, record_ages, at_ms } => {
+            let at_ms = at_ms.saturating_sub(called_at.as_millis() as u64);
+            FeedItem::Alive { revisions, record_ages, at_ms }
+        }
+        other => other,
+    }
+}
+
 /// Waits until a condition on the ages of records holds, and returns whether it does.
 async fn wait_until(node: &Node, max_wait: Duration, condition: impl Fn(&Node) -> bool) -> bool {
     let is_met = async {
@@ -115,7 +129,7 @@
         return;
     }
     let mut items = node.registry.changes_since(&request.revisions, node.now());
-    items.push(node.registry.ages_item(node.record_ages()));
+    items.push(since_call(node.registry.ages_item(node.record_ages()), asked_at));
     for item in items {
         if replies.send(&PeerReply::Feed(item)).await.is_err() {
             return;
@@ -133,14 +147,14 @@
         revisions: RecordKind::ALL.map(|kind| node.registry.revision(kind)),
         record_ages: node.record_ages(),
     };
+    let called_at = time_since_boot();
     let mut replies = open_call(node, host, &PeerRequest::Changes(request)).await?;
     let first = timeout(QUESTION_TIMEOUT + SILENCE_TIMEOUT, replies.next()).await;
     let mut item = feed_item(first.map_err(|_elapsed| FeedError::Silent)?);
-    let mut completed_kinds = Vec::new();
     loop {
         match item {
             Ok(FeedItem::Lost) => return Err(FeedError::SourceLost),
-            Ok(next) => apply_item(node, next, &mut completed_kinds)?,
+            Ok(next) => apply_item(node, next, called_at)?,
             Err(FeedError::Ended) => return Ok(()),
             Err(error) => return Err(error),
         }
@@ -180,11 +194,11 @@
 
 /// Follows the feed of another host until it ends, and returns the reason.
 pub async fn follow_host(node: &SharedNode, host: &str) -> FeedError {
+    let called_at = time_since_boot();
     let mut replies = match open_call(node, host, &PeerRequest::Feed).await {
         Ok(replies) => replies,
         Err(error) => return error,
     };
-    let mut completed_kinds = Vec::new();
     loop {
         let item = match next_item(&mut replies).await {
             Ok(item) => item,
@@ -199,40 +213,37 @@
         {
             return FeedError::SourceLost;
         }
-        if let Err(error) = apply_item(node, item, &mut completed_kinds) {
+        if let Err(error) = apply_item(node, item, called_at) {
             return error;
         }
     }
 }
 
-/// Applies one item of a feed. `completed_kinds` are those of which every record was received.
-fn apply_item(
-    node: &SharedNode,
-    item: FeedItem,
-    completed_kinds: &mut Vec<RecordKind>,
-) -> Result<(), FeedError> {
+/// Applies one item of a feed that was requested at `called_at` on the boot clock.
+fn apply_item(node: &SharedNode, item: FeedItem, called_at: Duration) -> Result<(), FeedError> {
     if item_era(&item).is_some_and(|era| era < node.return_guard.borrow().era()) {
         return Err(FeedError::EarlierEra);
     }
     match item {
         FeedItem::Put { kind, name, revision, text } => {
             registry::apply_fed_record(node, kind, &name, revision, text);
-            // Changes arrive in order once every record of the kind was sent.
-            if completed_kinds.contains(&kind) {
-                node.registry.advance(kind, revision);
-            }
         }
         FeedItem::Removed { kind, name, revision } => {
             registry::remove_record(node, kind, &name, revision);
         }
         FeedItem::Complete { kind, names, revision } => {
             registry::apply_complete_listing(node, kind, &names, revision);
-            completed_kinds.push(kind);
         }
-        FeedItem::Alive { revision, record_ages } => {
-            node.registry.advance(RecordKind::Upstreams, revision);
-            node.confirmations.borrow_mut().record_ages(&record_ages, time_since_boot());
-            registry::publish_ages(node);
+        FeedItem::Alive { revisions, record_ages, at_ms } => {
+            for kind in RecordKind::ALL {
+                node.registry.advance(kind, revisions[kind as usize]);
+            }
+            // The sender received the request no earlier than it was sent.
+            let told_at = called_at + Duration::from_millis(at_ms);
+            let is_news = node.confirmations.borrow_mut().record_ages(&record_ages, told_at);
+            if is_news {
+                registry::publish_ages(node);
+            }
         }
         FeedItem::StoreRecovered { ago_ms } => {
             registry::record_store_recovery(node, Duration::from_millis(u64::from(ago_ms)));
@@ -247,8 +258,8 @@
     match item {
         FeedItem::Put { revision, .. }
         | FeedItem::Removed { revision, .. }
-        | FeedItem::Complete { revision, .. }
-        | FeedItem::Alive { revision, .. } => Some(revision.era),
+        | FeedItem::Complete { revision, .. } => Some(revision.era),
+        FeedItem::Alive { revisions, .. } => revisions.iter().map(|revision| revision.era).max(),
         FeedItem::StoreRecovered { .. } | FeedItem::Lost => None,
     }
 }
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -12,6 +12,7 @@
 use rail_peer::FeedItem;
 use rail_revision::{Era, Revision};
 use rail_route::{RouteTable, Upstream, UpstreamState};
+use rail_runtime::time_since_boot;
 use rail_site::{
     StoredObject, decode_announcement, decode_route_table, decode_upstream,
     records::{CONFIG_KIND, CONFIG_NAME, UPSTREAM_KIND, VERSION_KIND, stable_upstream_fields},
@@ -63,9 +64,11 @@
 }
 
 impl Registry {
-    /// Returns an item with the ages of records, which confirms the items sent before it.
+    /// Returns an item with the ages of records now, which confirms the items sent before it. Its
+    /// time is that of this host's boot clock.
     pub fn ages_item(&self, record_ages: RecordAges) -> FeedItem {
-        FeedItem::Alive { revision: self.revision(RecordKind::Upstreams), record_ages }
+        let revisions = RecordKind::ALL.map(|kind| self.revision(kind));
+        FeedItem::Alive { revisions, record_ages, at_ms: time_since_boot().as_millis() as u64 }
     }
 
     /// Returns an item that tells of the store's return, while removals are deferred for it.
@@ -77,8 +80,7 @@
     }
 
     /// Returns the records that changed after these revisions, one for each kind, and what a host
-    /// needs to know to remove upstreams that are gone. Records of other kinds are never removed
-    /// for long, and a list of all their names would be long.
+    /// needs to know to remove upstreams and owners that are gone. Announced versions stay.
     pub fn changes_since(&self, revisions: &[Revision; 4], now: Duration) -> Vec<FeedItem> {
         let replicas = self.replicas.borrow();
         let mut items = Vec::from_iter(self.recovery_item(now));
@@ -92,10 +94,10 @@
                 text: record.text.clone(),
             }));
         }
-        if let Some(replica) = replicas.get(&RecordKind::Upstreams) {
+        for kind in [RecordKind::Upstreams, RecordKind::Owners] {
+            let Some(replica) = replicas.get(&kind) else { continue };
             let names = replica.iter().map(|(name, _)| name.clone()).collect();
-            let (kind, revision) = (RecordKind::Upstreams, replica.revision());
-            items.push(FeedItem::Complete { kind, names, revision });
+            items.push(FeedItem::Complete { kind, names, revision: replica.revision() });
         }
         items
     }
