A removed record is not restored before the replica reaches the removal's revision

Cause: a removal told by one source left no trace until the replica's revision passed it, so an older copy of the record, told by a host that lags behind in between, came back as ready, and nothing removed it again. The replica remembers each removal until its revision is past it; from then on the revision itself shows that an unknown record is gone.

--- a/crates/rail_member/src/replica.rs
+++ b/crates/rail_member/src/replica.rs
@@ -2,7 +2,8 @@
 //!
 //! Records arrive from the store itself or from other hosts that follow it, which may lag behind
 //! each other. A record never returns to an earlier revision, and a removed record is not restored
-//! by a source that has not yet received the removal. When the store returns from an older copy of
+//! by a source that has not yet received the removal: a removal is remembered until the replica has
+//! every change up to it. When the store returns from an older copy of
 //! itself, every revision of the new era is later than those known, so its records replace them.
 
 use crate::packed::RecordText;
@@ -76,15 +77,19 @@
 #[derive(Debug, Clone, Default)]
 pub struct Replica {
     records: BTreeMap<String, Record>,
+    /// Names of removed records, each with the revision at which it was gone, if that is later than
+    /// `revision`.
+    removed: BTreeMap<String, Revision>,
     revision: Revision,
 }
 
 impl Replica {
     /// Stores a received record unless it is outdated, and reports the effect.
     ///
-    /// An unknown record with a revision up to that of the replica was removed before, and is
-    /// ignored.
+    /// An unknown record with a revision up to that of the replica, or of its own removal, was
+    /// removed before, and is ignored.
     pub fn put(&mut self, name: &str, revision: Revision, text: RecordText) -> PutOutcome {
+        let is_removed = self.is_removed(name, revision);
         match self.records.get_mut(name) {
             Some(known) if revision <= known.revision => return PutOutcome::Stale,
             Some(known) if known.text == text => {
@@ -96,7 +101,7 @@
                     PutOutcome::Unchanged
                 };
             }
-            None if revision <= self.revision => return PutOutcome::Stale,
+            None if is_removed => return PutOutcome::Stale,
             Some(_) | None => {}
         }
         self.records.insert(name.to_owned(), Record { revision, text });
@@ -106,6 +111,10 @@
     /// Removes a record that was gone at a revision, and reports whether it was there. A record that
     /// was created again since stays.
     pub fn remove(&mut self, name: &str, revision: Revision) -> bool {
+        if revision > self.revision {
+            let removed_at = self.removed.entry(name.to_owned()).or_default();
+            *removed_at = revision.max(*removed_at);
+        }
         let is_gone = self.records.get(name).is_some_and(|known| known.revision <= revision);
         is_gone && self.records.remove(name).is_some()
     }
@@ -117,7 +126,7 @@
         if revision < self.revision {
             return Vec::new();
         }
-        self.revision = revision;
+        self.advance(revision);
         let removed = self.records.iter().filter(|(name, record)| {
             record.revision <= revision && !names.iter().any(|other| other == *name)
         });
@@ -137,6 +146,7 @@
     /// Records that the source has sent every change up to a revision.
     pub fn advance(&mut self, revision: Revision) {
         self.revision = self.revision.max(revision);
+        self.removed.retain(|_, removed_at| *removed_at > self.revision);
     }
 
     /// Returns the revision up to which every change is known.
@@ -149,6 +159,12 @@
         self.records.contains_key(name)
     }
 
+    /// Returns whether an unknown record of this revision is known to be gone.
+    fn is_removed(&self, name: &str, revision: Revision) -> bool {
+        let removed_at = self.removed.get(name).copied().unwrap_or_default();
+        revision <= removed_at.max(self.revision)
+    }
+
     /// Iterates over all records with their names, ordered by name.
     pub fn iter(&self) -> impl Iterator<Item = (&String, &Record)> {
         self.records.iter()
