A host that stood still ends no outage of the store for the others

Cause: the store's first answer after 1.5 s without a confirmation counted as the end of an outage for all, and every host that was told so kept removed upstreams for 1.9 s after it. A host that was frozen or cut off has old records as well. Evidence: both new tests fail with the earlier conditions (1.5 s of silence, 0.4 s of them still: an outage; a host with records of 0.95 s believes in one) and pass with these. The time since the last standstill limits what an age proves, and a host that knows of a recent answer of the store doesn't believe in an outage.

--- a/crates/rail_member/src/lib.rs
+++ b/crates/rail_member/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod heartbeat;
 pub mod host_heartbeat;
 pub mod members;
+pub mod outage;
 pub mod packed;
 pub mod phase;
 pub mod refresh;
@@ -30,6 +31,7 @@
         heartbeat::{Heartbeat, Role},
         host_heartbeat::{HeartbeatUpdate, HostHeartbeat, HostView, host_key},
         members::{Member, Members},
+        outage::RunningTime,
         packed::RecordText,
         phase::{HostPhase, Phase, PhaseEvent},
         refresh::{RecordBounds, RefreshPlanner},
--- a/crates/rail_member/tests/record_refresh.rs
+++ b/crates/rail_member/tests/record_refresh.rs
@@ -1,7 +1,8 @@
 //! Time in which changes reach every host, whichever sources of records fail.
 
 use rail_member::{
-    RecordBounds, RecordKind, RefreshPlanner,
+    Confirmations, RecordAges, RecordBounds, RecordKind, RefreshPlanner, RunningTime,
+    outage::{believes_outage, ends_outage},
     refresh::{AGE_CHECK_INTERVAL, DELIVERY_TIME, QUESTION_TIMEOUT, STORE_ANSWER_TIME},
 };
 use std::{collections::BTreeMap, time::Duration};
@@ -107,3 +108,53 @@
         }
     }
 }
+
+/// Returns the ages of records whose last confirmation lies back this long.
+fn ages_after(silence: Duration) -> RecordAges {
+    let mut confirmations = Confirmations::default();
+    for kind in RecordKind::ALL {
+        confirmations.record(kind, Duration::ZERO);
+    }
+    confirmations.ages(silence)
+}
+
+/// Runs the checks of a host that stands still at the end of a silence, and returns for how long it
+/// then counts as running.
+fn running_after(silence: Duration, standstill: Duration) -> Duration {
+    let start = Duration::from_secs(60);
+    let mut running_time = RunningTime::default();
+    let mut now = Duration::ZERO;
+    while now <= start + silence.saturating_sub(standstill) {
+        running_time.record_check(now);
+        now += AGE_CHECK_INTERVAL;
+    }
+    running_time.at(start + silence)
+}
+
+/// Guards against removed upstreams that hosts keep for longer because a host that stood still takes
+/// its own old records for an outage of the store.
+#[test]
+fn a_host_that_stood_still_ends_an_outage_that_never_was() {
+    let budget = BOUNDS.budget(RecordKind::Upstreams);
+    for silence_ms in (1_500..10_000).step_by(70) {
+        let silence = Duration::from_millis(silence_ms);
+        let ages = ages_after(silence);
+        for standstill_ms in (400..=silence_ms).step_by(90) {
+            let running = running_after(silence, Duration::from_millis(standstill_ms));
+            assert!(!ends_outage(&budget, &ages, running), "{silence:?}, {standstill_ms} ms still");
+        }
+        let running = running_after(silence, Duration::ZERO);
+        assert!(ends_outage(&budget, &ages, running), "an outage of {silence:?}");
+    }
+}
+
+/// Guards against the same where another host tells of the outage.
+#[test]
+fn a_host_with_recent_records_believes_in_an_outage() {
+    let budget = BOUNDS.budget(RecordKind::Upstreams);
+    // A source that works confirms records at least this often.
+    let calm = ages_after(budget.watch_period() + STORE_ANSWER_TIME + DELIVERY_TIME);
+    assert!(!believes_outage(&budget, &calm));
+    assert!(believes_outage(&budget, &ages_after(budget.longest_time(1))));
+    assert!(believes_outage(&budget, &Confirmations::default().ages(Duration::ZERO)));
+}
--- a/crates/tarragon_node/src/feed.rs
+++ b/crates/tarragon_node/src/feed.rs
@@ -246,7 +246,7 @@
             }
         }
         FeedItem::StoreRecovered { ago_ms } => {
-            registry::record_store_recovery(node, Duration::from_millis(u64::from(ago_ms)));
+            registry::record_told_recovery(node, Duration::from_millis(u64::from(ago_ms)));
         }
         FeedItem::Lost => return Err(FeedError::SourceLost),
     }
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -7,7 +7,8 @@
 };
 use rail_lease::{ReturnGuard, host_lease::HostLease};
 use rail_member::{
-    Confirmations, HostView, RecordAges, RecordBounds, RecordKind, refresh::RefreshBudget,
+    Confirmations, HostView, RecordAges, RecordBounds, RecordKind, RunningTime,
+    refresh::RefreshBudget,
 };
 use rail_place::ReplicaSpread;
 use rail_revision::{Era, Revision};
@@ -89,6 +90,8 @@
     pub store_health: StoreHealth,
     /// How old the copies of the store's records are.
     pub confirmations: RefCell<Confirmations>,
+    /// Since when this host has been running without a standstill.
+    pub running_time: Cell<RunningTime>,
     /// Replica of the store's records.
     pub registry: Registry,
     /// Links to other hosts and their registered addresses.
--- a/crates/tarragon_node/src/refresh.rs
+++ b/crates/tarragon_node/src/refresh.rs
@@ -11,6 +11,7 @@
     RecordKind, RefreshPlanner,
     refresh::{AGE_CHECK_INTERVAL, Round},
 };
+use rail_runtime::time_since_boot;
 use std::{cell::RefCell, rc::Rc};
 use tokio::task::JoinSet;
 
@@ -26,6 +27,9 @@
     let mut is_asking = false;
     loop {
         tokio::time::sleep(AGE_CHECK_INTERVAL).await;
+        let mut running_time = node.running_time.get();
+        running_time.record_check(time_since_boot());
+        node.running_time.set(running_time);
         while questions.try_join_next().is_some() {}
         let old_kinds = node.old_kinds();
         if old_kinds.is_empty() {
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -6,7 +6,7 @@
     store_return,
 };
 use rail_member::{
-    RecordAges, RecordText,
+    RecordAges, RecordText, outage,
     replica::{PutOutcome, Record, RecordKind, Replica},
 };
 use rail_peer::FeedItem;
@@ -174,16 +174,23 @@
     node.registry.publish(&node.registry.ages_item(node.record_ages()));
 }
 
-/// Records that the store has answered this host. If no host has had an answer for so long that this
-/// one would know, the store was away.
+/// Records that the store has answered this host, which may show that it was away for all hosts.
 pub fn record_store_answer(node: &Node) {
     let budget = node.record_bounds().budget(RecordKind::Upstreams);
-    let age = node.record_ages().of(RecordKind::Upstreams);
-    if age.is_some_and(|age| age >= budget.longest_time(1)) {
+    let running = node.running_time.get().at(time_since_boot());
+    if outage::ends_outage(&budget, &node.record_ages(), running) {
         record_store_recovery(node, Duration::ZERO);
     }
 }
 
+/// Records that another host told of the end of an outage some time ago.
+pub fn record_told_recovery(node: &Node, ago: Duration) {
+    let budget = node.record_bounds().budget(RecordKind::Upstreams);
+    if outage::believes_outage(&budget, &node.record_ages()) {
+        record_store_recovery(node, ago);
+    }
+}
+
 /// Records that the store first answered some time ago after it was unavailable to all hosts.
 pub fn record_store_recovery(node: &Node, ago: Duration) {
     let recovered_at = node.now().saturating_sub(ago);
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -114,6 +114,7 @@
         response_buffers: BufferBudget::default(),
         store_health: StoreHealth::default(),
         confirmations: RefCell::default(),
+        running_time: Cell::default(),
         registry: Registry::default(),
         peers: Peers::default(),
         routes: RefCell::default(),
