--- a/crates/rail_place/src/lib.rs
+++ b/crates/rail_place/src/lib.rs
@@ -14,7 +14,6 @@
 //! here does I/O or reads a clock.
 
 pub mod backoff;
-pub mod budget;
 pub mod demand;
 pub mod error;
 pub mod objective;
@@ -27,12 +26,12 @@
 pub mod residency;
 pub mod slot;
 pub mod spread;
+pub mod token_bucket;
 
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
         backoff::Backoff,
-        budget::LoadBudget,
         demand::Demand,
         error::{Error, Result},
         objective::{InvalidWeights, Objective},
@@ -48,6 +47,7 @@
         residency::{AdapterKey, LoadDecision, Residency, SlotTicket},
         slot::{SlotEvent, SlotState},
         spread::ReplicaSpread,
+        token_bucket::TokenBucket,
     };
 }
 pub use prelude::*;
--- a/crates/rail_place/src/permit.rs
+++ b/crates/rail_place/src/permit.rs
@@ -1,6 +1,6 @@
 //! Permits for loads from the weight store, granted by urgency and worth.
 
-use crate::budget::LoadBudget;
+use crate::token_bucket::TokenBucket;
 use std::{
     collections::{BTreeMap, BTreeSet},
     time::Duration,
@@ -45,7 +45,7 @@
 #[derive(Debug, Clone)]
 pub struct PermitOwner {
     limits: StoreLimits,
-    budget: LoadBudget,
+    budget: TokenBucket,
     pending: BTreeMap<PermitId, PendingPermit>,
     granted: BTreeSet<PermitId>,
 }
@@ -54,7 +54,7 @@
     /// Creates an owner with an empty bucket, so that its grants and those of a predecessor
     /// together stay within the rate.
     pub fn new(limits: StoreLimits, now: Duration) -> Self {
-        let budget = LoadBudget::new(limits.rate_per_s, limits.burst, now);
+        let budget = TokenBucket::new(limits.rate_per_s, limits.burst, now);
         Self { limits, budget, pending: BTreeMap::new(), granted: BTreeSet::new() }
     }
 
--- a/crates/rail_place/src/budget.rs
+++ b/crates/rail_place/src/token_bucket.rs
@@ -1,17 +1,17 @@
-//! Rate limit on loads from the weight store.
+//! Rate limit with a small burst.
 
 use std::time::Duration;
 
-/// Token bucket in which each load costs one token.
+/// Bucket that fills at a constant rate; each action costs one token.
 #[derive(Debug, Clone)]
-pub struct LoadBudget {
+pub struct TokenBucket {
     rate_per_s: f64,
     burst: f64,
     tokens: f64,
     updated_at: Duration,
 }
 
-impl LoadBudget {
+impl TokenBucket {
     /// Creates an empty bucket, so that the grants of a new owner and of its predecessor together
     /// stay within the rate.
     pub fn new(rate_per_s: f64, burst: f64, now: Duration) -> Self {
--- a/crates/tarragon_scheduler/src/engine/permit.rs
+++ b/crates/tarragon_scheduler/src/engine/permit.rs
@@ -8,7 +8,7 @@
 use rail_config::Fleet;
 use rail_peer::ReplyStream;
 use rail_peer::{PeerClient, PeerReply, PeerRequest, PermitReply, PermitRequest, ReplySender};
-use rail_place::{LoadBudget, PendingPermit, PermitId, PermitOwner, StoreLimits};
+use rail_place::{PendingPermit, PermitId, PermitOwner, StoreLimits, TokenBucket};
 use rail_platform::ConfigFollower;
 use rail_runtime::MonotonicClock;
 use std::{
@@ -70,7 +70,7 @@
     config: ConfigFollower,
     metrics: SchedulerMetrics,
     /// Static share of the budget, used when the owner grants no permit.
-    share: RefCell<LoadBudget>,
+    share: RefCell<TokenBucket>,
     /// Set while this process owns the budget.
     permit_table: RefCell<Option<PermitTable>>,
     /// Notified when a new request has to wait for its permit.
@@ -119,7 +119,7 @@
         config: ConfigFollower,
         metrics: SchedulerMetrics,
     ) -> Self {
-        let share = RefCell::new(LoadBudget::new(1.0, SHARE_BURST, clock.now()));
+        let share = RefCell::new(TokenBucket::new(1.0, SHARE_BURST, clock.now()));
         let permit_table = RefCell::default();
         let requested = Notify::new();
         let state = Rc::new(State {
--- a/examples/src/bin/placement.rs
+++ b/examples/src/bin/placement.rs
@@ -2,7 +2,7 @@
 //! within a budget and runs the requests in batches.
 
 use rail_place::{
-    EnginePlanner, LoadBudget, LoadDecision, Objective, PlannerConfig, Policy, Result, WorkItem,
+    EnginePlanner, LoadDecision, Objective, PlannerConfig, Policy, Result, TokenBucket, WorkItem,
     rank_engines,
 };
 use std::{collections::BTreeMap, process::ExitCode, time::Duration};
@@ -39,7 +39,7 @@
     };
     let config = PlannerConfig { adapter_slots: 2, slots: 4, policy: Policy::default(), objective };
     let mut planner = EnginePlanner::new(config);
-    let mut budget = LoadBudget::new(2.0, 1.0, Duration::ZERO);
+    let mut budget = TokenBucket::new(2.0, 1.0, Duration::ZERO);
     let mut waiting: Vec<QueuedRequest> =
         REQUESTS.map(|adapter| QueuedRequest { adapter, arrived_at: Duration::ZERO }).into();
     let mut now = Duration::ZERO;
@@ -91,7 +91,7 @@
 /// or can be freed.
 fn load_next(
     planner: &mut EnginePlanner,
-    budget: &mut LoadBudget,
+    budget: &mut TokenBucket,
     waiting: &[QueuedRequest],
     now: Duration,
 ) -> Result<()> {
