Requests to an upstream that names a limit need a permit, which one host issues for all

Cause: nothing read the header; the class is a limit over all hosts that no host keeps.

Why it works: one host issues the permits of an upstream, so their sum is that of one bucket, whatever the number and demand of the hosts. Hosts that don't hear from others use the rate once together, by the share of the hosts that they hear.

--- /dev/null
+++ b/crates/rail_limit/src/lib.rs
@@ -0,0 +1,20 @@
+//! Limits of requests that upstreams name, kept by all hosts together.
+//!
+//! An upstream in need names in its answers the rate of requests that it takes from all hosts
+//! together. [`KnownLimits`] is what one host knows of such limits. While an upstream names one,
+//! every request to it needs a permit. One host at a time issues the permits of an upstream, with
+//! [`PermitIssuer`]; [`rank_issuers`] names that host, and the next one, which stands in for it.
+
+pub mod issuer;
+pub mod known;
+pub mod rate;
+
+/// Commonly used items.
+pub mod prelude {
+    pub use crate::{
+        issuer::{IssuerRank, IssuingShare, Permit, PermitIssuer, rank_issuers},
+        known::{KnownLimits, Limit, UpstreamStart},
+        rate::{LimitStatement, RequestRate},
+    };
+}
+pub use prelude::*;
--- a/crates/rail_peer/src/configuration.rs
+++ b/crates/rail_peer/src/configuration.rs
@@ -146,7 +146,8 @@
             | PeerReply::Feed(_)
             | PeerReply::Grant(_)
             | PeerReply::Quarantine(_)
-            | PeerReply::Trial(_) => {
+            | PeerReply::Trial(_)
+            | PeerReply::SendPermit(_) => {
                 return Err(Error::InvalidMessage);
             }
         }
--- a/crates/rail_peer/src/lib.rs
+++ b/crates/rail_peer/src/lib.rs
@@ -29,8 +29,9 @@
         gossip::Gossip,
         mesh::PeerMesh,
         message::{
-            ChangesRequest, FeedItem, GrantReply, GrantRequest, PeerReply, PeerRequest,
-            PermitReply, PermitRequest, QuarantineExchange, TrialReply, TrialRequest, release_code,
+            ChangesRequest, FeedItem, GrantReply, GrantRequest, LimitNews, PeerReply, PeerRequest,
+            PermitReply, PermitRequest, QuarantineExchange, SendPermitReply, SendPermitRequest,
+            TrialReply, TrialRequest, release_code,
         },
         server::{IncomingCall, PeerServer, ReplySender},
     };
--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages that processes exchange over peer links.
 
 use rail_lease::{WitnessRefusal, WitnessRequest};
+use rail_limit::RequestRate;
 use rail_member::{
     Heartbeat, HeartbeatUpdate, HostHeartbeat, RecordAges, RecordText, replica::RecordKind,
 };
@@ -49,6 +50,42 @@
     Trial(TrialRequest),
     /// Requests records that the sender lacks, since its own are old.
     Changes(ChangesRequest),
+    /// Tells of the limit that an upstream names, and requests a permit to send it a request.
+    SendPermit(SendPermitRequest),
+}
+
+/// The limit of one start of an upstream, as a host knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitNews {
+    /// Rate that the upstream takes from all hosts together, `None` if it names none any more.
+    pub rate: Option<RequestRate>,
+    /// Time since the answer that says so, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Requests a permit to send a request to an upstream that names a limit.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SendPermitRequest {
+    /// Identity of the upstream.
+    pub upstream: String,
+    /// Start of the upstream in Unix milliseconds, if known.
+    pub started_unix_ms: Option<u64>,
+    /// What the sender knows of the limit.
+    pub limit: LimitNews,
+    /// Whether a permit is requested; otherwise the message only tells of the limit.
+    pub wants_permit: bool,
+    /// Whether the request is urgent.
+    pub is_urgent: bool,
+}
+
+/// Reply to a [`SendPermitRequest`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SendPermitReply {
+    /// What the receiver knows of the limit.
+    pub limit: LimitNews,
+    /// Time after which the sender may ask again, in milliseconds; `None` if the request may be
+    /// sent.
+    pub refused_ms: Option<u32>,
 }
 
 /// Requests records from a host whose own are more recent. The receiver keeps the request open until
@@ -263,4 +300,6 @@
     Quarantine(Vec<RecordNews>),
     /// Progress of a request for a trial.
     Trial(TrialReply),
+    /// Decision on a request to an upstream that names a limit.
+    SendPermit(SendPermitReply),
 }
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     events::Event, lost_runs, node::SharedNode, quarantine::Admission, request::CallerRequest,
-    upstream_ends,
+    send_permits, upstream_ends,
 };
 use http::{Request, StatusCode, header::CONTENT_ENCODING};
 use http_body_util::Full;
@@ -35,6 +35,9 @@
     NotSent,
     /// Not sent, since the upstream left, is draining or restarted after it was chosen.
     Withdrawn,
+    /// Not sent, since the upstream names a limit and no permit is left; contains the time after which
+    /// there may be one.
+    OverLimit(Duration),
     /// The connection broke or the response is not usable; the request may have run. Contains the
     /// reason.
     Lost(&'static str),
@@ -59,6 +62,9 @@
     upstream: &Arc<Upstream>,
     options: AttemptOptions<'_>,
 ) -> Attempt {
+    if let Err(pause) = send_permits::acquire(node, request, upstream).await {
+        return Attempt::OverLimit(pause);
+    }
     let started_at = Instant::now();
     request.record_attempt();
     let attempt = if node.accepts_requests(upstream) {
@@ -82,6 +88,7 @@
         Attempt::Responded(_) => ("answered", Some(AttemptOutcome::Started)),
         Attempt::NotRun(_) => ("not_run", None),
         Attempt::Withdrawn => ("withdrawn", None),
+        Attempt::OverLimit(_) => ("over_limit", None),
         Attempt::NotSent => ("not_sent", Some(AttemptOutcome::Unreachable)),
         Attempt::Lost(reason) => (*reason, Some(AttemptOutcome::Failed)),
     };
@@ -112,7 +119,7 @@
     match attempt {
         Attempt::Responded(response) => response.head.status.as_u16(),
         Attempt::NotRun(status) => status.as_u16(),
-        Attempt::NotSent | Attempt::Withdrawn | Attempt::Lost(_) => 0,
+        Attempt::NotSent | Attempt::Withdrawn | Attempt::OverLimit(_) | Attempt::Lost(_) => 0,
     }
 }
 
@@ -175,11 +182,14 @@
     if let Some(load) = response_headers.load {
         node.upstream_loads.record_report(&upstream.id, load);
     }
-    let is_other_request =
-        response_headers.request_id.is_some_and(|id| id != request.parsed_headers.request_id);
+    let is_other_request = response_headers
+        .request_id
+        .as_ref()
+        .is_some_and(|id| *id != request.parsed_headers.request_id);
     if is_other_request {
         return Attempt::Lost("other_answer");
     }
+    record_limit(node, upstream, &response_headers, response.head.status);
     if response_headers.is_not_run {
         let status = response.head.status;
         discard_refusal_body(response);
@@ -193,6 +203,20 @@
     Attempt::Responded(Box::new(response))
 }
 
+/// Records the limit that a response names. One that may come from another server than the one
+/// asked doesn't show that the limit has ended.
+fn record_limit(
+    node: &SharedNode,
+    upstream: &Upstream,
+    headers: &UpstreamResponseHeaders,
+    status: StatusCode,
+) {
+    let is_own = headers.is_signed || headers.request_id.is_some();
+    if is_own && status != StatusCode::MISDIRECTED_REQUEST {
+        send_permits::record_answer(node, upstream, headers.limit);
+    }
+}
+
 /// Returns the newest announced version of the adapter, which the upstream must have to run the
 /// request, or `None` while an older version may still run it.
 fn required_version(node: &SharedNode, request: &CallerRequest) -> Option<u64> {
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -145,6 +145,7 @@
         is_http10,
         connection_end,
         record_ages: Cell::new(node.record_ages()),
+        limit: Cell::new(None),
         last_body: Cell::new(None),
         node: Rc::clone(&node),
     };
--- a/crates/tarragon_node/src/engine_grants.rs
+++ b/crates/tarragon_node/src/engine_grants.rs
@@ -217,6 +217,7 @@
         !outlier_detector.is_ejected(&upstream.id, now)
             && !excluded.contains(&upstream.id)
             && !node.upstream_ends.is_silent(upstream)
+            && node.send_permits.pause(upstream, now).is_none()
     };
     let mut usable: Vec<&Arc<Upstream>> =
         upstreams.ready(&request.service).filter(is_usable).collect();
--- a/crates/tarragon_node/src/engine_requests.rs
+++ b/crates/tarragon_node/src/engine_requests.rs
@@ -9,6 +9,7 @@
     relay,
     reply::Failure,
     request::{CallerRequest, InFlight, fail_request, quarantine_response},
+    send_permits,
 };
 use actix_http::{Response, body::BoxBody};
 use http::StatusCode;
@@ -107,7 +108,7 @@
                 lost_runs::record_loss(node, request, &upstream, admission, reason).await;
                 retry_state.excluded.push(upstream.id.clone());
             }
-            Attempt::NotSent | Attempt::Withdrawn => {
+            Attempt::NotSent | Attempt::Withdrawn | Attempt::OverLimit(_) => {
                 retry_state.excluded.push(upstream.id.clone());
             }
         }
@@ -218,6 +219,10 @@
                 retry_state.excluded.push(upstream.id.clone());
                 "not_sent"
             }
+            Attempt::OverLimit(_pause) => {
+                retry_state.excluded.push(upstream.id.clone());
+                "over_limit"
+            }
             Attempt::NotRun(status) => {
                 retry_state.record_refusal(node, request, &upstream, grant, status);
                 if !node.try_retry(&request.service) {
@@ -266,7 +271,12 @@
             fail_request(node, request, Failure::Busy, Some(NO_OWNER_RETRY_AFTER), "")
         }
         NoGrant::NoEngine => {
-            fail_request(node, request, Failure::NoUpstream, Some(NO_OWNER_RETRY_AFTER), "")
+            let (failure, retry_after) = match send_permits::shortest_pause(node, &request.service)
+            {
+                Some(pause) => (Failure::Busy, pause.max(MIN_RETRY_AFTER)),
+                None => (Failure::NoUpstream, NO_OWNER_RETRY_AFTER),
+            };
+            fail_request(node, request, failure, Some(retry_after), "")
         }
     }
 }
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -46,6 +46,8 @@
     BadRecord { kind: &'a str, name: &'a str, reason: String },
     /// An upstream registered, changed its state or was removed.
     Upstream { upstream: &'a str, service: &'a str, state: &'a str, revision: Revision },
+    /// An upstream names another limit of requests than before, or none any more.
+    UpstreamLimit { upstream: &'a str, limit_per_s: Option<f64> },
     /// A new version of an adapter was announced.
     Version { adapter: &'a str, version: u64 },
     /// The owner of an engine changed.
@@ -171,6 +173,12 @@
         /// Ages in milliseconds of the host's records when the request was last sent or refused.
         #[serde(serialize_with = "as_text")]
         record_ages: RecordAges,
+        /// Requests a second that the last upstream named when a permit for it was requested.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limit_per_s: Option<f64>,
+        /// Time since the upstream named that limit.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        limit_age_ms: Option<u64>,
         /// How the body of the upstream's response was framed, if there was one.
         #[serde(skip_serializing_if = "Option::is_none")]
         framing: Option<&'static str>,
--- a/crates/tarragon_node/src/main.rs
+++ b/crates/tarragon_node/src/main.rs
@@ -32,6 +32,7 @@
 mod reply;
 mod request;
 mod run;
+mod send_permits;
 mod service_requests;
 mod store_health;
 mod store_return;
--- a/crates/tarragon_node/src/metrics.rs
+++ b/crates/tarragon_node/src/metrics.rs
@@ -23,6 +23,8 @@
     pub retries_denied: Counter,
     /// Attempts by outcome.
     pub attempts: ReasonCounters,
+    /// Permits for requests to upstreams that name a limit, by decision.
+    pub send_permits: ReasonCounters,
     /// Bodies of upstreams' responses by framing, end and completeness.
     pub body_ends: ReasonCounters,
     /// Calls to the store by outcome.
@@ -108,6 +110,10 @@
             retries: registry.reason_counters("retries", "Repeated sends by reason"),
             retries_denied: registry
                 .counter("retries_denied", "Repeats that the shared budget did not allow"),
+            send_permits: registry.reason_counters(
+                "send_permits",
+                "Permits for requests to upstreams that name a limit, by decision",
+            ),
             body_ends: registry.reason_counters(
                 "body_ends",
                 "Bodies of upstreams' responses by framing, end and completeness",
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     engines::OwnedEngines, events::Events, metrics::NodeMetrics, peers::Peers,
-    quarantine::Quarantine, registry::Registry, store_health::StoreHealth,
-    upstream_ends::UpstreamEnds, upstream_loads::UpstreamLoads,
+    quarantine::Quarantine, registry::Registry, send_permits::SendPermits,
+    store_health::StoreHealth, upstream_ends::UpstreamEnds, upstream_loads::UpstreamLoads,
 };
 use rail_lease::{ReturnGuard, host_lease::HostLease};
 use rail_member::{
@@ -112,6 +112,8 @@
     pub retry_budgets: RefCell<HashMap<ServiceId, RetryBudget>>,
     /// Load of upstreams, as far as this host knows it.
     pub upstream_loads: UpstreamLoads,
+    /// Limits that upstreams name, and permits for requests to them.
+    pub send_permits: SendPermits,
     /// Requests that crash their upstreams.
     pub quarantine: Quarantine,
     /// Checks whether upstreams that lost requests have ended.
--- a/crates/tarragon_node/src/peer_calls.rs
+++ b/crates/tarragon_node/src/peer_calls.rs
@@ -5,7 +5,7 @@
     feed,
     node::{Node, SharedNode},
     peers::merge_heartbeats,
-    quarantine, quarantine_news,
+    quarantine, quarantine_news, send_permits,
 };
 use rail_peer::{
     GrantReply, GrantRequest, IncomingCall, PeerReply, PeerRequest, ReplySender, release_code,
@@ -55,6 +55,14 @@
                     }
                 });
             }
+            PeerRequest::SendPermit(question) => {
+                let reply = send_permits::decide(&node, &question);
+                actix_rt::spawn(async move {
+                    if replies.send(&PeerReply::SendPermit(reply)).await.is_ok() {
+                        replies.finish();
+                    }
+                });
+            }
             PeerRequest::Trial(call) => {
                 actix_rt::spawn(quarantine::serve_trial(Rc::clone(&node), call, replies));
             }
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -9,6 +9,7 @@
 };
 use actix_http::{Response, body::BoxBody};
 use bytes::Bytes;
+use rail_limit::RequestRate;
 use rail_member::RecordAges;
 use rail_request::{Fingerprint, QuarantineKey};
 use rail_route::{Route, RouteKind};
@@ -68,6 +69,8 @@
     pub connection_end: ConnectionEnd,
     /// Ages of the host's records when the request was last sent, or when it arrived.
     pub record_ages: Cell<RecordAges>,
+    /// Limit that the last upstream named, with its age.
+    pub limit: Cell<Option<(RequestRate, Duration)>>,
     /// Framing and end of the last response body that an upstream sent.
     pub last_body: Cell<Option<(Framing, BodyEnd)>>,
     /// State of the process, for the log line on drop.
@@ -182,6 +185,8 @@
         total_ms: request.arrived_at.elapsed().as_millis() as u64,
         budget_ms: request.deadline_at.duration_since(request.arrived_at).as_millis() as u64,
         record_ages: request.record_ages.get(),
+        limit_per_s: request.limit.get().map(|(rate, _)| rate.requests_per_s()),
+        limit_age_ms: request.limit.get().map(|(_, age)| age.as_millis() as u64),
         framing: last_body.map(|(framing, _)| framing.name()),
         ending: last_body.map(|(_, end)| end.name()),
     };
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -15,6 +15,7 @@
     quarantine::Quarantine,
     quarantine_news, record_sources, refresh,
     registry::Registry,
+    send_permits::{self, SendPermits},
     store_health::StoreHealth,
     upstream_ends::UpstreamEnds,
     upstream_loads::UpstreamLoads,
@@ -125,6 +126,7 @@
         replica_spread: RefCell::default(),
         retry_budgets: RefCell::default(),
         upstream_loads: UpstreamLoads::default(),
+        send_permits: SendPermits::default(),
         quarantine: Quarantine::default(),
         upstream_ends: UpstreamEnds::default(),
         hosts: RefCell::default(),
@@ -171,6 +173,7 @@
         tokio::time::sleep(PRUNE_INTERVAL).await;
         let now_ms = quarantine_news::now_ms(&node);
         node.quarantine.table.borrow_mut().prune(now_ms);
+        send_permits::prune(&node);
         let upstreams = node.upstreams.borrow();
         let is_known = |id: &str| upstreams.find(id).is_some();
         node.outlier_detector.borrow_mut().retain(is_known);
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -9,7 +9,7 @@
     request::{
         CallerRequest, InFlight, RequestEnd, fail_request, quarantine_response, record_request_end,
     },
-    upstream_ends,
+    send_permits, upstream_ends,
 };
 use actix_http::{Response, body::BoxBody};
 use bytes::Bytes;
@@ -65,6 +65,8 @@
     current_upstream: Option<Arc<Upstream>>,
     /// Trial as which the request runs there.
     current_trial: Option<KeyTrial>,
+    /// Upstreams that name a limit and had no permit left for the request.
+    over_limit: Vec<String>,
     attempts_sent: u32,
     unsent_attempts: u32,
     may_have_run: bool,
@@ -85,15 +87,14 @@
                 return quarantine_response(node, request, refusal, retry_state.may_have_run);
             }
         };
-        let chosen = choose_upstream(node, request, &retry_state.tried_upstreams, &admission);
+        let chosen = choose_upstream(node, request, retry_state, &admission);
         let Some(upstream) = chosen else {
-            return fail_request(
-                node,
-                request,
-                Failure::NoUpstream,
-                Some(NO_UPSTREAM_RETRY_AFTER),
-                "",
-            );
+            let (failure, retry_after) = match send_permits::shortest_pause(node, &request.service)
+            {
+                Some(pause) => (Failure::Busy, pause.max(BUSY_RETRY_AFTER)),
+                None => (Failure::NoUpstream, NO_UPSTREAM_RETRY_AFTER),
+            };
+            return fail_request(node, request, failure, Some(retry_after), "");
         };
         let _load = node.upstream_loads.track(&upstream.id);
         retry_state.current_upstream = Some(Arc::clone(&upstream));
@@ -137,6 +138,11 @@
                 }
                 reason
             }
+            Attempt::OverLimit(_pause) => {
+                retry_state.may_have_run = may_have_run_before;
+                retry_state.over_limit.push(upstream.id.clone());
+                continue;
+            }
             Attempt::NotSent | Attempt::Withdrawn => {
                 retry_state.may_have_run = may_have_run_before;
                 retry_state.unsent_attempts += 1;
@@ -210,15 +216,21 @@
     ready
 }
 
-/// Chooses the ready instance with the lowest cost, preferring those that were not tried yet.
+/// Chooses the ready instance with the lowest cost, preferring those that were not tried yet. One that
+/// names a limit and has no permit left is not chosen.
 fn choose_upstream(
     node: &SharedNode,
     request: &CallerRequest,
-    tried_upstreams: &[String],
+    retry_state: &RetryState,
     admission: &Admission,
 ) -> Option<Arc<Upstream>> {
     let upstreams = node.upstreams.borrow();
+    let now = node.now();
     let mut ready = admission.filter(upstreams.ready(&request.service).collect());
+    ready.retain(|upstream| {
+        let is_paused = node.send_permits.pause(upstream, now).is_some();
+        !is_paused && !retry_state.over_limit.contains(&upstream.id)
+    });
     if !ready.iter().all(|upstream| node.upstream_ends.is_silent(upstream)) {
         ready.retain(|upstream| !node.upstream_ends.is_silent(upstream));
     }
@@ -226,7 +238,8 @@
     let outlier_detector = node.outlier_detector.borrow();
     let load = |id: &str| node.upstream_loads.estimate(id);
     let zone = &node.settings.zone;
-    choose_instance(ready, tried_upstreams, zone, &outlier_detector, load, node.now()).cloned()
+    let tried_upstreams = &retry_state.tried_upstreams;
+    choose_instance(ready, tried_upstreams, zone, &outlier_detector, load, now).cloned()
 }
 
 /// Response of an upstream, read completely.
--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -61,7 +61,8 @@
                 | PeerRequest::Grant(_)
                 | PeerRequest::Quarantine(_)
                 | PeerRequest::Trial(_)
-                | PeerRequest::Changes(_) => {}
+                | PeerRequest::Changes(_)
+                | PeerRequest::SendPermit(_) => {}
                 PeerRequest::Witness(request) => {
                     let answer = session.answer_as_witness(request);
                     actix_rt::spawn(reply_once(PeerReply::Witness(answer), replies));
