An odd object costs itself only, not the whole answer of the store

What callers saw: reported by other operators: one odd entry among the servers (very deeply nested, a number too large), and hosts stop following the list; here no host uses a new server. Cause: an answer of the store was parsed as one document with the content of all its objects, so one content that the parser refuses made the answer unreadable. The same for every kind and for watches.

Why it works: an answer is split into raw objects, which needs neither depth nor numbers, and each is parsed alone. A content that can't be read counts as null, so the revision is known and its kind decides. The log names each unusable record once for each reason; before, each read named it.

--- a/crates/tarragon_node/src/record_sources.rs
+++ b/crates/tarragon_node/src/record_sources.rs
@@ -15,7 +15,7 @@
 use rail_runtime::time_since_boot;
 use rail_site::{
     Freshness, StoreError,
-    store::{Change, Changes, Listing},
+    objects::{Change, Changes, Listing, UnreadableObject},
 };
 use rand::seq::IteratorRandom;
 use std::{cell::RefCell, rc::Rc, time::Duration};
@@ -278,6 +278,7 @@
 /// Applies the changes that a watch reported. A record that was removed and created again is not
 /// removed, since its newer state may have arrived over another path.
 fn apply_changes(node: &SharedNode, kind: RecordKind, changes: &Changes) {
+    log_unreadable(node, kind, &changes.unreadable);
     for (index, change) in changes.changes.iter().enumerate() {
         match change {
             Change::Put(object) => registry::apply_stored_record(node, kind, object),
@@ -341,7 +342,14 @@
     node.events.important(&Event::Store { kind, answers: !is_unavailable, reason: &reason });
 }
 
+fn log_unreadable(node: &SharedNode, kind: RecordKind, unreadable: &[UnreadableObject]) {
+    for UnreadableObject { name, reason } in unreadable {
+        registry::log_bad_record(node, kind, name.as_deref().unwrap_or_default(), reason.clone());
+    }
+}
+
 fn apply_listing(node: &SharedNode, kind: RecordKind, listing: &Listing) {
+    log_unreadable(node, kind, &listing.unreadable);
     let names: Vec<String> = listing.objects.iter().map(|object| object.name.clone()).collect();
     for object in &listing.objects {
         registry::apply_stored_record(node, kind, object);
