A record that can't be used names no upstream, whatever it named before

Cause: a record that doesn't decode was logged, and the upstream stayed as its earlier record had named it, ready, for good. Evidence: an_upstream_is_used_by_an_earlier_record_than_its_odd_one fails on the commit before (still used after 3 s) and passes now. The upstream is removed until a record names it again, as the servers' own records do with the next heartbeat.

--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -413,7 +413,11 @@
             apply_routes(node, table);
         }
         RecordKind::Config => {}
-        RecordKind::Upstreams => apply_upstream(node, name, revision, value)?,
+        RecordKind::Upstreams => {
+            // A record that can't be used names no upstream, whatever it named before.
+            apply_upstream(node, name, revision, value)
+                .inspect_err(|_reason| delete_upstream(node, name))?;
+        }
         RecordKind::Versions => {
             let announced = decode_announcement(value).map_err(|error| error.to_string())?;
             apply_version(node, &announced.0, announced.1);
