A request goes to an upstream that refused it over another connection

What callers saw: reported by other operators: an earlier refusal written once more on a kept connection, and requests that were running were told as not run (REFUSED) or ran at a second server (TWICE). A refusal that is written again on the old connection can't be read as the answer on a new one; read by another request, its id differs.

--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -182,6 +182,19 @@
                 Err(ExchangeError::Failed(error)) => return Err(error),
             }
         }
+        self.send_on_new_connection(address, request).await
+    }
+
+    /// Sends a request on a connection of its own and waits for the response head. Bytes that the
+    /// upstream writes on another connection can't be taken for its response.
+    ///
+    /// # Errors
+    /// As [`ConnectionPool::send`].
+    pub async fn send_on_new_connection(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<UpstreamResponse> {
         let connection = self.connect(address).await?;
         exchange(connection, request).await.map_err(|failure| match failure {
             ExchangeError::NotSent(_) => SendError::NotSent,
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -173,7 +173,14 @@
     *outgoing.headers_mut() = upstream_request_headers(headers, &added_headers);
     let is_retryable = request.route.kind.is_retryable();
     let max_idle = if is_retryable { MAX_IDLE_RETRYABLE } else { MAX_IDLE_NON_RETRYABLE };
-    let response = match node.links.send(upstream.address, outgoing, max_idle).await {
+    // An upstream may write an earlier refusal once more on its connection; it names this request.
+    let was_refused = request.refused_by.borrow().contains(&upstream.id);
+    let sent = if was_refused {
+        node.links.send_on_new_connection(upstream.address, outgoing).await
+    } else {
+        node.links.send(upstream.address, outgoing, max_idle).await
+    };
+    let response = match sent {
         Ok(response) => response,
         Err(SendError::NotSent) => return Attempt::NotSent,
         Err(SendError::Lost) => return Attempt::Lost("connection_lost"),
@@ -192,6 +199,7 @@
     record_limit(node, upstream, &response_headers, response.head.status);
     if response_headers.is_not_run {
         let status = response.head.status;
+        request.refused_by.borrow_mut().push(upstream.id.clone());
         discard_refusal_body(response);
         return Attempt::NotRun(status);
     }
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -21,7 +21,7 @@
 use rail_route::RouteTable;
 use rail_site::CallerHeaders;
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -145,6 +145,7 @@
         is_http10,
         connection_end,
         record_ages: Cell::new(node.record_ages()),
+        refused_by: RefCell::default(),
         limit: Cell::new(None),
         last_body: Cell::new(None),
         node: Rc::clone(&node),
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -12,11 +12,11 @@
 use rail_limit::RequestRate;
 use rail_member::RecordAges;
 use rail_request::{Fingerprint, QuarantineKey};
-use rail_route::{Route, RouteKind};
+use rail_route::{Route, RouteKind, UpstreamId};
 use rail_site::CallerHeaders;
 use rail_upstream::{BodyContent, BodyEnd, Completeness, Framing, UpstreamResponse};
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
     time::{Duration, Instant},
@@ -53,6 +53,8 @@
     pub sent_at: Cell<Instant>,
     /// Time at which the current run sent the first part of its answer.
     pub answering_since: Cell<Option<Instant>>,
+    /// Upstreams that stated that they did not run the request.
+    pub refused_by: RefCell<Vec<UpstreamId>>,
     /// Number of attempts so far.
     pub attempts: Cell<u32>,
     /// Attempts that did not run, since they were refused or not sent.
