A refusal that names no request counts only as the first answer of its connection

Cause: an answer without the request's id was taken for that of the request, whatever came before on the connection. Such a refusal on a used connection counts as a lost answer.

--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -66,6 +66,8 @@
     task: JoinHandle<()>,
     pool: Rc<PoolState>,
     address: SocketAddr,
+    /// Whether a response has arrived on it.
+    is_used: bool,
 }
 
 impl Drop for PooledConnection {
@@ -115,6 +117,7 @@
     body: Incoming,
     framing: Framing,
     connection: Option<PooledConnection>,
+    is_first_on_connection: bool,
     /// How the body ended; `None` until then.
     end: Option<BodyEnd>,
 }
@@ -238,7 +241,8 @@
         });
         self.state.opened.set(self.state.opened.get() + 1);
         self.state.adjust_open_count(address, 1);
-        Ok(PooledConnection { sender, task, pool: Rc::clone(&self.state), address })
+        let pool = Rc::clone(&self.state);
+        Ok(PooledConnection { sender, task, pool, address, is_used: false })
     }
 }
 
@@ -268,7 +272,22 @@
     fn new(method: &Method, response: Response<Incoming>, connection: PooledConnection) -> Self {
         let (head, body) = response.into_parts();
         let framing = Framing::of(method, &head);
-        Self { head, body, framing, connection: Some(connection), end: None }
+        let mut connection = connection;
+        let is_first_on_connection = !std::mem::replace(&mut connection.is_used, true);
+        Self {
+            head,
+            body,
+            framing,
+            connection: Some(connection),
+            is_first_on_connection,
+            end: None,
+        }
+    }
+
+    /// Returns whether no other response came before on the connection, so that this one can't
+    /// belong to an earlier request.
+    pub fn is_first_on_connection(&self) -> bool {
+        self.is_first_on_connection
     }
 
     /// Returns how the response marks the end of its body.
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -197,6 +197,11 @@
         return Attempt::Lost("other_answer");
     }
     record_limit(node, upstream, &response_headers, response.head.status);
+    // A refusal that names no request may be an earlier one, written again.
+    let names_request = response_headers.request_id.is_some();
+    if response_headers.is_not_run && !names_request && !response.is_first_on_connection() {
+        return Attempt::Lost("unnamed_refusal");
+    }
     if response_headers.is_not_run {
         let status = response.head.status;
         request.refused_by.borrow_mut().push(upstream.id.clone());
