A stream is resumed only by an answer that consists of events

Cause: a resumed stream took any answer with a success status; one with another content type and an empty line at its end counted as an event. Evidence: a_begun_stream_contains_the_error_of_the_next_engine fails before for status 200 with application/json and with text/plain (the text stands after the second of four events, the stream ends as complete), and passes now; status 500 and 502, with JSON, events or the head of an answer as body, were told as broken before too.

--- a/crates/tarragon_node/src/engine_requests.rs
+++ b/crates/tarragon_node/src/engine_requests.rs
@@ -15,6 +15,7 @@
 use http::StatusCode;
 use rail_place::GrantOutcome;
 use rail_route::{AttemptOutcome, Upstream};
+use rail_upstream::UpstreamResponse;
 use std::{sync::Arc, time::Duration};
 
 /// Most attempts for one request, including those that the engine refused to run.
@@ -90,7 +91,7 @@
         }
         let options = AttemptOptions { admission: &admission, version, resume_after };
         match attempt::send(node, request, &upstream, options).await {
-            Attempt::Responded(upstream_response) if upstream_response.head.status.is_success() => {
+            Attempt::Responded(upstream_response) if resumes(request, &upstream_response) => {
                 record_served_adapter(node, request, &upstream, upstream_response.head.status);
                 return Some(StartedResponse {
                     upstream,
@@ -116,6 +117,11 @@
     None
 }
 
+/// Returns whether a response continues a stream. Anything but events would stand in its middle.
+fn resumes(request: &CallerRequest, response: &UpstreamResponse) -> bool {
+    response.head.status.is_success() && relay::is_event_stream(request, response)
+}
+
 /// Progress of one request over its attempts.
 #[derive(Debug, Default)]
 struct RetryState {
@@ -174,7 +180,7 @@
     /// Adapter version that the owner granted; `None` if no version was announced.
     pub version: Option<u64>,
     /// Response head, with the body still to be read.
-    pub upstream_response: Box<rail_upstream::UpstreamResponse>,
+    pub upstream_response: Box<UpstreamResponse>,
 }
 
 /// Obtains a grant and sends the request, until an engine responds or the retries are exhausted.
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -271,7 +271,7 @@
 
 /// Returns whether a response consists of events. A success on a route for streams does so unless
 /// it states another type.
-fn is_event_stream(request: &CallerRequest, upstream_response: &UpstreamResponse) -> bool {
+pub fn is_event_stream(request: &CallerRequest, upstream_response: &UpstreamResponse) -> bool {
     let head = &upstream_response.head;
     match head.headers.get(CONTENT_TYPE).map(HeaderValue::as_bytes) {
         Some(content_type) => content_type.starts_with(b"text/event-stream"),
