Ages of records are rounded up where hosts tell them to each other

Cause: an age lost up to two milliseconds at each hop, by the age itself and by the time at which it was told, both rounded down; a hop within a zone takes less.

--- a/crates/rail_member/src/confirmation.rs
+++ b/crates/rail_member/src/confirmation.rs
@@ -28,6 +28,16 @@
     }
 }
 
+/// Returns the milliseconds from the receipt of a request to a later time of the same clock, given in
+/// whole milliseconds. Rounded down, so that nobody takes what is said then for later than it is.
+pub fn millis_since(received_at: Duration, at_ms: u64) -> u64 {
+    at_ms.saturating_sub(millis_rounded_up(received_at))
+}
+
+fn millis_rounded_up(time: Duration) -> u64 {
+    time.as_nanos().div_ceil(1_000_000) as u64
+}
+
 /// Time up to which each kind of record is confirmed. Times are those of a clock that runs while
 /// the machine is suspended.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -75,11 +85,12 @@
         is_news
     }
 
-    /// Returns the age of every kind.
+    /// Returns the age of every kind, rounded up: an age that loses the fractions of milliseconds
+    /// would stay young for ever among hosts that tell each other.
     pub fn ages(&self, now: Duration) -> RecordAges {
         RecordAges(self.0.map(|confirmed_at| {
             let age = confirmed_at.map(|confirmed_at| now.saturating_sub(confirmed_at));
-            age.and_then(|age| u32::try_from(age.as_millis()).ok()).unwrap_or(u32::MAX)
+            age.and_then(|age| u32::try_from(millis_rounded_up(age)).ok()).unwrap_or(u32::MAX)
         }))
     }
 }
--- a/crates/rail_member/tests/record_refresh.rs
+++ b/crates/rail_member/tests/record_refresh.rs
@@ -2,6 +2,7 @@
 
 use rail_member::{
     Confirmations, RecordAges, RecordBounds, RecordKind, RefreshPlanner, RunningTime,
+    confirmation::millis_since,
     outage::{believes_outage, ends_outage},
     refresh::{AGE_CHECK_INTERVAL, DELIVERY_TIME, QUESTION_TIMEOUT, STORE_ANSWER_TIME},
 };
@@ -158,3 +159,34 @@
     assert!(believes_outage(&budget, &ages_after(budget.longest_time(1))));
     assert!(believes_outage(&budget, &Confirmations::default().ages(Duration::ZERO)));
 }
+
+/// Guards against ages that hosts which hear of the store only from each other keep young, because
+/// each of them rounds them down.
+#[test]
+fn ages_of_hosts_that_tell_each_other_stay_young() {
+    for seed in 0..200 {
+        let random = |what: &str, hop: u64| {
+            Duration::from_micros(xxh3_64(format!("{seed}/{what}/{hop}").as_bytes()) % 1_000)
+        };
+        let start = Duration::from_secs(1) + random("start", 0);
+        let mut hosts = [Confirmations::default(), Confirmations::default()];
+        hosts[0].record(RecordKind::Config, start);
+        // Each host called the other one at these times, and the call arrived shortly after.
+        let called_at = [0, 1].map(|host| Duration::from_millis(900) + random("called", host));
+        let received_at = [0, 1].map(|host| called_at[host] + random("transit", host as u64) / 10);
+        let mut now = start;
+        for hop in 0..2_000 {
+            let (teller, told) = ((hop % 2) as usize, ((hop + 1) % 2) as usize);
+            let ages = hosts[teller].ages(now);
+            let since = millis_since(received_at[told], now.as_millis() as u64);
+            let told_at = called_at[told] + Duration::from_millis(since);
+            now += random("hop", hop) / 4;
+            hosts[told].record_ages(&ages, told_at);
+        }
+        for host in hosts {
+            let age = host.ages(now).of(RecordKind::Config).expect("an age");
+            let elapsed = now.saturating_sub(start);
+            assert!(age >= elapsed, "seed {seed}: {age:?} after {elapsed:?}");
+        }
+    }
+}
--- a/crates/tarragon_node/src/feed.rs
+++ b/crates/tarragon_node/src/feed.rs
@@ -4,7 +4,9 @@
     node::{Node, SharedNode},
     registry,
 };
-use rail_member::{RecordKind, refresh::QUESTION_TIMEOUT, source::MAX_FEEDS_PER_HOST};
+use rail_member::{
+    RecordKind, confirmation::millis_since, refresh::QUESTION_TIMEOUT, source::MAX_FEEDS_PER_HOST,
+};
 use rail_peer::{ChangesRequest, FeedItem, PeerReply, PeerRequest, ReplySender, ReplyStream};
 use rail_revision::Era;
 use rail_runtime::time_since_boot;
@@ -93,7 +95,7 @@
 fn since_call(item: FeedItem, called_at: Duration) -> FeedItem {
     match item {
         FeedItem::Alive { revisions, record_ages, at_ms } => {
-            let at_ms = at_ms.saturating_sub(called_at.as_millis() as u64);
+            let at_ms = millis_since(called_at, at_ms);
             FeedItem::Alive { revisions, record_ages, at_ms }
         }
         other => other,
@@ -114,7 +116,7 @@
 fn keepalive(node: &Node) -> FeedItem {
     let ages = node.record_ages();
     let is_usable = ages.of(RecordKind::Upstreams).is_some_and(|age| age < MAX_FED_AGE);
-    if is_usable { node.registry.ages_item(ages) } else { FeedItem::Lost }
+    if is_usable { node.ages_item() } else { FeedItem::Lost }
 }
 
 /// Sends the records that another host lacks, once those of this host are more recent.
@@ -129,7 +131,7 @@
         return;
     }
     let mut items = node.registry.changes_since(&request.revisions, node.now());
-    items.push(since_call(node.registry.ages_item(node.record_ages()), asked_at));
+    items.push(since_call(node.ages_item(), asked_at));
     for item in items {
         if replies.send(&PeerReply::Feed(item)).await.is_err() {
             return;
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -10,6 +10,7 @@
     Confirmations, HostView, RecordAges, RecordBounds, RecordKind, RunningTime,
     refresh::RefreshBudget,
 };
+use rail_peer::FeedItem;
 use rail_place::ReplicaSpread;
 use rail_revision::{Era, Revision};
 use rail_route::{
@@ -163,6 +164,11 @@
         self.confirmations.borrow().ages(time_since_boot())
     }
 
+    /// Returns an item for other hosts with the ages of the records now.
+    pub fn ages_item(&self) -> FeedItem {
+        self.registry.ages_item(&self.confirmations.borrow(), time_since_boot())
+    }
+
     /// Returns the times within which changes of records must take effect.
     pub fn record_bounds(&self) -> RecordBounds {
         let bounds = self.bounds();
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -6,7 +6,7 @@
     store_return,
 };
 use rail_member::{
-    RecordAges, RecordText, outage,
+    Confirmations, RecordText, outage,
     replica::{PutOutcome, Record, RecordKind, Replica},
 };
 use rail_peer::FeedItem;
@@ -68,11 +68,12 @@
 }
 
 impl Registry {
-    /// Returns an item with the ages of records now, which confirms the items sent before it. Its
-    /// time is that of this host's boot clock.
-    pub fn ages_item(&self, record_ages: RecordAges) -> FeedItem {
+    /// Returns an item with the ages of records at a time of the boot clock, which confirms the items
+    /// sent before it.
+    pub fn ages_item(&self, confirmations: &Confirmations, at: Duration) -> FeedItem {
         let revisions = RecordKind::ALL.map(|kind| self.revision(kind));
-        FeedItem::Alive { revisions, record_ages, at_ms: time_since_boot().as_millis() as u64 }
+        let record_ages = confirmations.ages(at);
+        FeedItem::Alive { revisions, record_ages, at_ms: at.as_millis() as u64 }
     }
 
     /// Returns an item that tells of the store's return, while removals are deferred for it.
@@ -175,7 +176,7 @@
 /// Tells followers how old the records are, and wakes tasks that wait for recent ones.
 pub fn publish_ages(node: &Node) {
     node.records_confirmed.notify_waiters();
-    node.registry.publish(&node.registry.ages_item(node.record_ages()));
+    node.registry.publish(&node.ages_item());
 }
 
 /// Records that the store has answered this host, which may show that it was away for all hosts.
