A root returns to the store once the store answers it again

Cause: a host that should follow the store and follows another host instead stayed there while that worked; the hosts that had taken over went back to their roots, which have recent records. When all roots lose the store at once, for a moment, no host follows it any more. Evidence: trial on a clone with a log line for each call (b-1 follows b-3 from 3.0 s on and never the store); no_host_follows_the_store_after_all_that_do_lost_it_for_a_moment fails before (all three roots follow other hosts 9 s after the store is back) and passes now.

--- a/crates/rail_member/src/source.rs
+++ b/crates/rail_member/src/source.rs
@@ -95,14 +95,12 @@
         now: Duration,
     ) -> Source {
         self.avoided_until.retain(|_, until| now < *until);
+        if self.must_follow_store(live, store, now) {
+            return Source::Store;
+        }
         let ordered = ordered_hosts_of_zone(live, &self.zone);
         let own_position = ordered.iter().position(|host| *host == self.host);
         let root_count = root_count_of_zone(live, &self.zone);
-        let is_store_avoided = now < self.store_avoided_until && !store.answers;
-        let uses_store = !store.is_failing && !is_store_avoided;
-        if own_position.is_none_or(|position| position < root_count) && uses_store {
-            return Source::Store;
-        }
         let parent = own_position
             .and_then(|position| parent_position(position, root_count))
             .map(|position| ordered[position]);
@@ -120,6 +118,22 @@
         self.nearest_fresh(live).map_or(Source::Store, |host| Source::Host(host.to_owned()))
     }
 
+    /// Returns whether this host is a root that can use the store. The other hosts rely on it, so it
+    /// does not stay at another source that works.
+    pub fn must_follow_store(
+        &self,
+        live: &[SourceCandidate],
+        store: StoreAccess,
+        now: Duration,
+    ) -> bool {
+        let ordered = ordered_hosts_of_zone(live, &self.zone);
+        let own_position = ordered.iter().position(|host| *host == self.host);
+        let is_root =
+            own_position.is_none_or(|position| position < root_count_of_zone(live, &self.zone));
+        let is_avoided = now < self.store_avoided_until && !store.answers;
+        is_root && !store.is_failing && !is_avoided
+    }
+
     fn nearest_fresh<'a>(&self, live: &'a [SourceCandidate]) -> Option<&'a str> {
         let is_usable = |candidate: &&SourceCandidate| {
             candidate.is_fresh
--- a/crates/tarragon_node/src/record_sources.rs
+++ b/crates/tarragon_node/src/record_sources.rs
@@ -88,7 +88,11 @@
             Source::Store => follow_store(&node, &chooser).await,
             Source::Host(host) => {
                 node.events.important(&Event::Source { source: &host });
-                let reason = feed::follow_host(&node, &host).await.to_string();
+                let lost = tokio::select! {
+                    lost = feed::follow_host(&node, &host) => lost,
+                    () = wait_for_store(&node, &chooser) => continue,
+                };
+                let reason = lost.to_string();
                 node.events.important(&Event::SourceLost { source: &host, reason: &reason });
                 chooser.borrow_mut().avoid(&host, node.now());
             }
@@ -96,6 +100,22 @@
     }
 }
 
+/// Waits until this host must follow the store again, and the store has answered it.
+async fn wait_for_store(node: &SharedNode, chooser: &RefCell<SourceChooser>) {
+    loop {
+        tokio::time::sleep(SOURCE_CHOICE_INTERVAL).await;
+        let (live, now) = (source_candidates(node), node.now());
+        if !chooser.borrow().must_follow_store(&live, store_access(node, now), now) {
+            continue;
+        }
+        // The other source is kept while the store does not answer.
+        if refresh_kind(node, RecordKind::Upstreams).await {
+            return;
+        }
+        chooser.borrow_mut().avoid_store(node.now());
+    }
+}
+
 fn source_candidates(node: &Node) -> Vec<SourceCandidate> {
     let hosts = node.hosts.borrow();
     let candidate = |heartbeat: &HostHeartbeat| SourceCandidate {
@@ -109,11 +129,14 @@
 fn choose_source(node: &Node, chooser: &RefCell<SourceChooser>) -> Source {
     let now = node.now();
     let live = source_candidates(node);
-    let store = StoreAccess {
+    chooser.borrow_mut().choose(&live, store_access(node, now), now)
+}
+
+fn store_access(node: &Node, now: Duration) -> StoreAccess {
+    StoreAccess {
         is_failing: node.store_health.is_failing(now),
         answers: node.store_health.answers(now),
-    };
-    chooser.borrow_mut().choose(&live, store, now)
+    }
 }
 
 /// Reads every record once, which suffices until a source is chosen.
