--- a/crates/rail_limit/src/issuer.rs
+++ b/crates/rail_limit/src/issuer.rs
@@ -1,6 +1,6 @@
 //! Permits for requests to upstreams that name a limit, issued by one host for all.
 
-use crate::{known::UpstreamStart, rate::RequestRate};
+use crate::{known::LimitKey, rate::RequestRate};
 use rail_place::{TokenBucket, rank_engines};
 use std::{collections::HashMap, time::Duration};
 
@@ -70,7 +70,7 @@
 /// Issues the permits of upstreams for all hosts.
 #[derive(Debug, Clone, Default)]
 pub struct PermitIssuer {
-    buckets: HashMap<UpstreamStart, Bucket>,
+    buckets: HashMap<LimitKey, Bucket>,
 }
 
 impl PermitIssuer {
@@ -80,7 +80,7 @@
     /// A new bucket is empty, since another host may have issued permits until now.
     pub fn request(
         &mut self,
-        start: &UpstreamStart,
+        start: &LimitKey,
         rate: RequestRate,
         share: IssuingShare,
         is_urgent: bool,
--- a/crates/rail_limit/src/known.rs
+++ b/crates/rail_limit/src/known.rs
@@ -8,9 +8,9 @@
 /// Answers of this age or less may have been given before one that arrived earlier.
 const OVERTAKING_TIME: Duration = Duration::from_millis(100);
 
-/// One start of an upstream; another start does not inherit the limit.
+/// Identifies one start of an upstream; another start does not inherit the limit.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct UpstreamStart {
+pub struct LimitKey {
     /// Identity with which the upstream registered.
     pub upstream: String,
     /// Time of the start in Unix milliseconds, if known.
@@ -29,14 +29,14 @@
 /// Limits of upstreams that have named one lately. Times are those of the host's own clock.
 #[derive(Debug, Clone, Default)]
 pub struct KnownLimits {
-    limits: HashMap<UpstreamStart, Limit>,
+    limits: HashMap<LimitKey, Limit>,
 }
 
 impl KnownLimits {
     /// Records what an answer that has just arrived says, and returns whether the limit has changed.
     pub fn record_answer(
         &mut self,
-        start: &UpstreamStart,
+        start: &LimitKey,
         statement: LimitStatement,
         now: Duration,
     ) -> bool {
@@ -54,7 +54,7 @@
 
     /// Records what another host was told, unless a later answer is known, and returns whether the
     /// limit has changed.
-    pub fn merge(&mut self, start: &UpstreamStart, limit: Limit) -> bool {
+    pub fn merge(&mut self, start: &LimitKey, limit: Limit) -> bool {
         let known = self.limits.get(start).copied();
         // Of two answers at about the same time the one that names the lower limit holds.
         let is_outdated = known.is_some_and(|known| {
@@ -72,17 +72,17 @@
     }
 
     /// Returns the newest statement about a start of an upstream.
-    pub fn find(&self, start: &UpstreamStart) -> Option<Limit> {
+    pub fn find(&self, start: &LimitKey) -> Option<Limit> {
         self.limits.get(start).copied()
     }
 
     /// Returns the rate that a start of an upstream names now.
-    pub fn rate(&self, start: &UpstreamStart) -> Option<RequestRate> {
+    pub fn rate(&self, start: &LimitKey) -> Option<RequestRate> {
         self.find(start)?.rate
     }
 
     /// Removes starts that `is_known` doesn't know, and limits that ended long ago.
-    pub fn prune(&mut self, is_known: impl Fn(&UpstreamStart) -> bool, now: Duration) {
+    pub fn prune(&mut self, is_known: impl Fn(&LimitKey) -> bool, now: Duration) {
         self.limits.retain(|start, limit| {
             let is_ended = limit.rate.is_none() && now >= limit.answered_at + END_MEMORY;
             is_known(start) && !is_ended
--- a/crates/rail_limit/src/lib.rs
+++ b/crates/rail_limit/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod prelude {
     pub use crate::{
         issuer::{IssuerRank, IssuingShare, Permit, PermitIssuer, rank_issuers},
-        known::{KnownLimits, Limit, UpstreamStart},
+        known::{KnownLimits, Limit, LimitKey},
         rate::{LimitStatement, RequestRate},
     };
 }
--- a/crates/rail_limit/tests/fleet_model.rs
+++ b/crates/rail_limit/tests/fleet_model.rs
@@ -1,8 +1,8 @@
 //! Fleets of hosts that send requests to one upstream which names a limit for some time.
 
 use rail_limit::{
-    IssuerRank, IssuingShare, KnownLimits, Limit, LimitStatement, Permit, PermitIssuer,
-    RequestRate, UpstreamStart, rank_issuers,
+    IssuerRank, IssuingShare, KnownLimits, Limit, LimitKey, LimitStatement, Permit, PermitIssuer,
+    RequestRate, rank_issuers,
 };
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -79,7 +79,7 @@
     scenario: Scenario,
     names: Vec<String>,
     hosts: Vec<Host>,
-    start: UpstreamStart,
+    start: LimitKey,
     /// Time, host and whether it had been told of the limit long enough.
     arrivals: Vec<(Duration, usize, bool)>,
     /// Answers on their way: time of arrival, host, statement.
@@ -92,7 +92,7 @@
 impl Fleet {
     fn new(scenario: Scenario) -> Self {
         let names: Vec<String> = (0..scenario.hosts).map(|host| format!("h{host}")).collect();
-        let start = UpstreamStart { upstream: "u".to_owned(), started_unix_ms: Some(1) };
+        let start = LimitKey { upstream: "u".to_owned(), started_unix_ms: Some(1) };
         let mut fleet = Self {
             scenario,
             names,
--- a/crates/rail_limit/tests/statements.rs
+++ b/crates/rail_limit/tests/statements.rs
@@ -1,15 +1,15 @@
 //! What answers say about limits, and what a host believes of it.
 
 use quickcheck::quickcheck;
-use rail_limit::{KnownLimits, Limit, LimitStatement, RequestRate, UpstreamStart};
+use rail_limit::{KnownLimits, Limit, LimitKey, LimitStatement, RequestRate};
 use std::time::Duration;
 
 fn named(requests_per_s: f64) -> LimitStatement {
     LimitStatement::Named(RequestRate::per_second(requests_per_s).expect("a rate"))
 }
 
-fn start(started_unix_ms: u64) -> UpstreamStart {
-    UpstreamStart { upstream: "u".to_owned(), started_unix_ms: Some(started_unix_ms) }
+fn start(started_unix_ms: u64) -> LimitKey {
+    LimitKey { upstream: "u".to_owned(), started_unix_ms: Some(started_unix_ms) }
 }
 
 fn ms(time_ms: u64) -> Duration {
--- a/crates/tarragon_node/src/main.rs
+++ b/crates/tarragon_node/src/main.rs
@@ -5,6 +5,7 @@
 //! `rail_` crates; this program connects it to sockets and to the platform.
 
 mod attempt;
+mod bad_records;
 mod caller_connection;
 mod caller_requests;
 mod engine_grants;
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -1,8 +1,8 @@
 //! State of the process, shared by all its tasks on a single thread.
 
 use crate::{
-    engines::OwnedEngines, events::Events, metrics::NodeMetrics, peers::Peers,
-    quarantine::Quarantine, registry::Registry, send_permits::SendPermits,
+    bad_records::BadRecords, engines::OwnedEngines, events::Events, metrics::NodeMetrics,
+    peers::Peers, quarantine::Quarantine, registry::Registry, send_permits::SendPermits,
     store_health::StoreHealth, upstream_ends::UpstreamEnds, upstream_loads::UpstreamLoads,
 };
 use rail_lease::{ReturnGuard, host_lease::HostLease};
@@ -95,6 +95,8 @@
     pub running_time: Cell<RunningTime>,
     /// Replica of the store's records.
     pub registry: Registry,
+    /// Records that can't be used.
+    pub bad_records: BadRecords,
     /// Links to other hosts and their registered addresses.
     pub peers: Peers,
     /// Applied configuration; `None` until the first one is received.
--- a/crates/tarragon_node/src/record_sources.rs
+++ b/crates/tarragon_node/src/record_sources.rs
@@ -1,6 +1,7 @@
 //! Follows the store's records, either at the store itself or through the feed of another host.
 
 use crate::{
+    bad_records,
     events::Event,
     feed,
     node::{Node, SharedNode},
@@ -367,7 +368,7 @@
 
 fn log_unreadable(node: &SharedNode, kind: RecordKind, unreadable: &[UnreadableObject]) {
     for UnreadableObject { name, reason } in unreadable {
-        registry::log_bad_record(node, kind, name.as_deref().unwrap_or_default(), reason.clone());
+        bad_records::log(node, kind, name.as_deref().unwrap_or_default(), reason.clone());
     }
 }
 
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -1,6 +1,7 @@
 //! Applies records of the store to the state of the process and publishes them to followers.
 
 use crate::{
+    bad_records,
     events::Event,
     node::{Node, OwnerRecord, Ownership, SharedNode},
     store_return,
@@ -34,8 +35,6 @@
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(1900);
 /// Upstreams that are remembered as drained; the one with the smallest id is forgotten first.
 const MAX_DRAINED_UPSTREAMS: usize = 4096;
-/// Unusable records that are remembered as logged; the first one in order is forgotten first.
-const MAX_LOGGED_BAD_RECORDS: usize = 512;
 /// Changes queued for a slow follower before its feed is dropped.
 const MAX_QUEUED_CHANGES: usize = 512;
 
@@ -60,8 +59,6 @@
     store_recovered_at: Cell<Duration>,
     /// Record of the applied configuration.
     applied_config: RefCell<Option<(Revision, RecordText)>>,
-    /// Records that were logged as unusable, each with the reason.
-    logged_bad_records: RefCell<BTreeSet<(RecordKind, String, String)>>,
     /// Starts of upstreams that drain or have drained: id, start time and era of that state. An
     /// older copy of the store may list them as ready.
     drained: RefCell<BTreeMap<(String, u64), Era>>,
@@ -244,7 +241,7 @@
 ) {
     match decode_text(text.clone()) {
         Ok(value) => apply_value(node, kind, name, revision, &value, text),
-        Err(reason) => log_bad_record(node, kind, name, reason),
+        Err(reason) => bad_records::log(node, kind, name, reason),
     }
 }
 
@@ -298,7 +295,7 @@
 ) {
     let version_before = node.config_version();
     if let Err(reason) = apply_change(node, kind, name, revision, value) {
-        log_bad_record(node, kind, name, reason);
+        bad_records::log(node, kind, name, reason);
     }
     if node.config_version() != version_before {
         *node.registry.applied_config.borrow_mut() = Some((revision, text));
@@ -306,17 +303,6 @@
     node.records_changed.notify_waiters();
 }
 
-/// Logs why a record can't be used, once for each record and reason: it may be read again and again.
-pub fn log_bad_record(node: &SharedNode, kind: RecordKind, name: &str, reason: String) {
-    let mut logged = node.registry.logged_bad_records.borrow_mut();
-    if logged.len() >= MAX_LOGGED_BAD_RECORDS {
-        logged.pop_first();
-    }
-    if logged.insert((kind, name.to_owned(), reason.clone())) {
-        node.events.important(&Event::BadRecord { kind: store_kind(kind), name, reason });
-    }
-}
-
 /// Applies the removal of a record that was gone at a revision of the store. After a store outage, the removal of an upstream is deferred by
 /// [`REREGISTRATION_GRACE`], since its record may only have expired during the outage.
 pub fn remove_record(node: &SharedNode, kind: RecordKind, name: &str, revision: Revision) {
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -1,6 +1,7 @@
 //! Startup, configuration reload and graceful shutdown of the process.
 
 use crate::{
+    bad_records::BadRecords,
     caller_requests,
     engines::OwnedEngines,
     entry,
@@ -117,6 +118,7 @@
         confirmations: RefCell::default(),
         running_time: Cell::default(),
         registry: Registry::default(),
+        bad_records: BadRecords::default(),
         peers: Peers::default(),
         routes: RefCell::default(),
         upstreams: RefCell::default(),
--- a/crates/tarragon_node/src/send_permits.rs
+++ b/crates/tarragon_node/src/send_permits.rs
@@ -10,8 +10,8 @@
     request::CallerRequest,
 };
 use rail_limit::{
-    IssuerRank, IssuingShare, KnownLimits, Limit, LimitStatement, Permit, PermitIssuer,
-    RequestRate, UpstreamStart, rank_issuers,
+    IssuerRank, IssuingShare, KnownLimits, Limit, LimitKey, LimitStatement, Permit, PermitIssuer,
+    RequestRate, rank_issuers,
 };
 use rail_peer::{LimitNews, PeerReply, PeerRequest, SendPermitReply, SendPermitRequest};
 use rail_route::Upstream;
@@ -31,7 +31,7 @@
     known: RefCell<KnownLimits>,
     issuer: RefCell<PermitIssuer>,
     /// Time before which no permit of an upstream is requested, after one was refused.
-    paused_until: RefCell<HashMap<UpstreamStart, Duration>>,
+    paused_until: RefCell<HashMap<LimitKey, Duration>>,
 }
 
 /// A host that issues permits.
@@ -42,7 +42,7 @@
 
 impl SendPermits {
     /// Returns the rate that an upstream names, with the time since the answer that said so.
-    fn limit(&self, start: &UpstreamStart, now: Duration) -> Option<(RequestRate, Duration)> {
+    fn limit(&self, start: &LimitKey, now: Duration) -> Option<(RequestRate, Duration)> {
         let limit = self.known.borrow().find(start)?;
         Some((limit.rate?, now.saturating_sub(limit.answered_at)))
     }
@@ -50,13 +50,13 @@
     /// Returns the time until a permit of an upstream may be requested; `None` if that is now, or if
     /// no permit is needed.
     pub fn pause(&self, upstream: &Upstream, now: Duration) -> Option<Duration> {
-        let start = start_of(upstream);
+        let start = key_of(upstream);
         self.known.borrow().rate(&start)?;
         let until = self.paused_until.borrow().get(&start).copied()?;
         Some(until.saturating_sub(now)).filter(|pause| !pause.is_zero())
     }
 
-    fn news(&self, start: &UpstreamStart, now: Duration) -> LimitNews {
+    fn news(&self, start: &LimitKey, now: Duration) -> LimitNews {
         let limit = self.known.borrow().find(start);
         let age = limit.map(|limit| now.saturating_sub(limit.answered_at));
         LimitNews {
@@ -82,7 +82,7 @@
     request: &CallerRequest,
     upstream: &Upstream,
 ) -> Result<(), Duration> {
-    let (start, now) = (start_of(upstream), node.now());
+    let (start, now) = (key_of(upstream), node.now());
     let permits = &node.send_permits;
     request.limit.set(permits.limit(&start, now));
     if request.limit.get().is_none() {
@@ -149,7 +149,7 @@
 /// Decides on the request of any host as the issuer of the upstream's permits.
 pub fn decide(node: &Node, question: &SendPermitRequest) -> SendPermitReply {
     merge(node, question, question.limit);
-    let (start, now) = (start_in(question), node.now());
+    let (start, now) = (key_in(question), node.now());
     let limit = node.send_permits.news(&start, now);
     let refused = match limit.rate {
         Some(rate) if question.wants_permit => {
@@ -192,7 +192,7 @@
 
 /// Records what an answer of an upstream says about its limit, and tells the issuer of a change.
 pub fn record_answer(node: &SharedNode, upstream: &Upstream, statement: LimitStatement) {
-    let (start, now) = (start_of(upstream), node.now());
+    let (start, now) = (key_of(upstream), node.now());
     let is_changed = node.send_permits.known.borrow_mut().record_answer(&start, statement, now);
     if !is_changed {
         return;
@@ -214,7 +214,7 @@
     if news.age_ms == u32::MAX {
         return;
     }
-    let start = start_in(question);
+    let start = key_in(question);
     let answered_at = node.now().saturating_sub(Duration::from_millis(news.age_ms.into()));
     let limit = Limit { rate: news.rate, answered_at };
     let is_changed = node.send_permits.known.borrow_mut().merge(&start, limit);
@@ -223,7 +223,7 @@
     }
 }
 
-fn log_limit(node: &Node, start: &UpstreamStart) {
+fn log_limit(node: &Node, start: &LimitKey) {
     let rate = node.send_permits.known.borrow().rate(start);
     node.events.important(&Event::UpstreamLimit {
         upstream: &start.upstream,
@@ -235,7 +235,7 @@
 pub fn prune(node: &Node) {
     let now = node.now();
     let upstreams = node.upstreams.borrow();
-    let is_known = |start: &UpstreamStart| {
+    let is_known = |start: &LimitKey| {
         let known = upstreams.find(&start.upstream);
         known.is_some_and(|known| known.started_unix_ms == start.started_unix_ms)
     };
@@ -244,11 +244,11 @@
     node.send_permits.paused_until.borrow_mut().retain(|_, until| now < *until);
 }
 
-fn start_of(upstream: &Upstream) -> UpstreamStart {
-    UpstreamStart { upstream: upstream.id.clone(), started_unix_ms: upstream.started_unix_ms }
+fn key_of(upstream: &Upstream) -> LimitKey {
+    LimitKey { upstream: upstream.id.clone(), started_unix_ms: upstream.started_unix_ms }
 }
 
-fn start_in(question: &SendPermitRequest) -> UpstreamStart {
+fn key_in(question: &SendPermitRequest) -> LimitKey {
     let SendPermitRequest { upstream, started_unix_ms, .. } = question;
-    UpstreamStart { upstream: upstream.clone(), started_unix_ms: *started_unix_ms }
+    LimitKey { upstream: upstream.clone(), started_unix_ms: *started_unix_ms }
 }
