Log the software version that answered and the request that a stream resumes

The record's Version is decoded and fed to all hosts, Resumes is read, both stand on the log line of a request, and requests that resume a stream are no longer sampled. No decision reads either yet.

--- a/crates/rail_route/src/lib.rs
+++ b/crates/rail_route/src/lib.rs
@@ -26,8 +26,8 @@
             ServiceShare,
         },
         upstream::{
-            AdapterName, AdapterVersion, ResidentModel, Upstream, UpstreamId, UpstreamState,
-            UpstreamTable,
+            AdapterName, AdapterVersion, ResidentModel, SoftwareVersion, Upstream, UpstreamId,
+            UpstreamState, UpstreamTable,
         },
         versions::AdapterVersions,
     };
--- a/crates/rail_route/src/upstream.rs
+++ b/crates/rail_route/src/upstream.rs
@@ -10,6 +10,8 @@
 pub type AdapterName = String;
 /// Version of an adapter's weights.
 pub type AdapterVersion = u64;
+/// Version of the software that an upstream runs; versions have no order.
+pub type SoftwareVersion = String;
 
 /// A base model that is loaded on an engine, with the adapters that are loaded for it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -46,6 +48,8 @@
     pub state: UpstreamState,
     /// Time of its start in Unix milliseconds; a restart under the same identity changes it.
     pub started_unix_ms: Option<u64>,
+    /// Version of its software, if it names one.
+    pub software: Option<SoftwareVersion>,
     /// Models that are loaded on it; the report lags behind the engine.
     pub resident_models: Vec<ResidentModel>,
 }
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -81,6 +81,9 @@
     if matches!(attempt, Attempt::NotRun(_) | Attempt::NotSent | Attempt::Withdrawn) {
         request.record_not_run();
     }
+    if matches!(attempt, Attempt::Responded(_)) {
+        request.software.borrow_mut().clone_from(&upstream.software);
+    }
     let (outcome, detector_outcome) = match &attempt {
         Attempt::Responded(response) if response.head.status.is_server_error() => {
             ("upstream_failed", Some(AttemptOutcome::Failed))
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -66,7 +66,8 @@
     let arrived_at = Instant::now();
     let in_flight = InFlight::start(&node);
     let headers = request.headers();
-    let parsed_headers = CallerHeaders::read(|name| headers.get(name).map(HeaderValue::as_bytes));
+    let parsed_headers =
+        CallerHeaders::read(|name| headers.get_all(name).map(HeaderValue::as_bytes));
     let request_id = parsed_headers.request_id.clone();
     let refuse = |failure: Failure, retry_after: Option<Duration>| {
         node.metrics.refusals.count(failure.reason());
@@ -147,6 +148,7 @@
         record_ages: Cell::new(node.record_ages()),
         refused_by: RefCell::default(),
         limit: Cell::new(None),
+        software: RefCell::default(),
         last_body: Cell::new(None),
         node: Rc::clone(&node),
     };
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -179,6 +179,12 @@
         /// Time since the upstream named that limit.
         #[serde(skip_serializing_if = "Option::is_none")]
         limit_age_ms: Option<u64>,
+        /// Version of the software of the upstream that answered last.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        software: Option<&'a str>,
+        /// Request that began the stream which this one resumes, as the caller named it.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        resumes: Option<&'a str>,
         /// How the body of the upstream's response was framed, if there was one.
         #[serde(skip_serializing_if = "Option::is_none")]
         framing: Option<&'static str>,
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -12,7 +12,7 @@
 use rail_limit::RequestRate;
 use rail_member::RecordAges;
 use rail_request::{Fingerprint, QuarantineKey};
-use rail_route::{Route, RouteKind, UpstreamId};
+use rail_route::{Route, RouteKind, SoftwareVersion, UpstreamId};
 use rail_site::CallerHeaders;
 use rail_upstream::{BodyContent, BodyEnd, Completeness, Framing, UpstreamResponse};
 use std::{
@@ -73,6 +73,8 @@
     pub record_ages: Cell<RecordAges>,
     /// Limit that the last upstream named, with its age.
     pub limit: Cell<Option<(RequestRate, Duration)>>,
+    /// Software version of the upstream that answered last.
+    pub software: RefCell<Option<SoftwareVersion>>,
     /// Framing and end of the last response body that an upstream sent.
     pub last_body: Cell<Option<(Framing, BodyEnd)>>,
     /// State of the process, for the log line on drop.
@@ -173,6 +175,7 @@
     request.is_end_recorded.set(true);
     node.metrics.requests.count(end.reason);
     let last_body = request.last_body.get();
+    let software = request.software.borrow();
     let event = Event::Request {
         request: &request.parsed_headers.request_id,
         route: &request.route.name,
@@ -189,13 +192,19 @@
         record_ages: request.record_ages.get(),
         limit_per_s: request.limit.get().map(|(rate, _)| rate.requests_per_s()),
         limit_age_ms: request.limit.get().map(|(_, age)| age.as_millis() as u64),
+        software: software.as_deref(),
+        resumes: request.parsed_headers.resumes.as_deref(),
         framing: last_body.map(|(framing, _)| framing.name()),
         ending: last_body.map(|(_, end)| end.name()),
     };
     if (200..300).contains(&end.status) && end.reason == "answered" {
         let first = Duration::from_millis(end.first_ms);
         node.metrics.first_part_time.observe(kind_name(request.route.kind), first);
-        node.events.routine(&event);
+        if request.parsed_headers.last_event_id.is_some() {
+            node.events.important(&event);
+        } else {
+            node.events.routine(&event);
+        }
     } else {
         node.events.important(&event);
     }
