--- a/crates/rail_route/src/upstream.rs
+++ b/crates/rail_route/src/upstream.rs
@@ -48,8 +48,8 @@
     pub state: UpstreamState,
     /// Time of its start in Unix milliseconds; a restart under the same identity changes it.
     pub started_unix_ms: Option<u64>,
-    /// Version of its software, if it names one.
-    pub software: Option<SoftwareVersion>,
+    /// Version of its software; empty if it names none.
+    pub software: SoftwareVersion,
     /// Models that are loaded on it; the report lags behind the engine.
     pub resident_models: Vec<ResidentModel>,
 }
--- a/crates/rail_route/tests/route.rs
+++ b/crates/rail_route/tests/route.rs
@@ -48,7 +48,7 @@
         slots: 4,
         state: UpstreamState::Ready,
         started_unix_ms: None,
-        software: None,
+        software: String::new(),
         resident_models: Vec::new(),
     })
 }
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -67,7 +67,7 @@
     }
     let started_at = Instant::now();
     request.record_attempt();
-    let attempt = if node.accepts_requests(upstream) {
+    let attempt = if node.accepts_requests(upstream) && request.may_run_on(upstream) {
         let _watch = lost_runs::watch_trial(node, request, upstream, options.admission);
         tokio::select! {
             attempt = exchange(node, request, upstream, options) => attempt,
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -149,6 +149,7 @@
         refused_by: RefCell::default(),
         limit: Cell::new(None),
         software: RefCell::default(),
+        pin: RefCell::default(),
         last_body: Cell::new(None),
         node: Rc::clone(&node),
     };
--- a/crates/tarragon_node/src/engine_grants.rs
+++ b/crates/tarragon_node/src/engine_grants.rs
@@ -214,7 +214,8 @@
     let outlier_detector = node.outlier_detector.borrow();
     let now = node.now();
     let is_usable = |upstream: &&Arc<Upstream>| {
-        !outlier_detector.is_ejected(&upstream.id, now)
+        request.may_run_on(upstream)
+            && !outlier_detector.is_ejected(&upstream.id, now)
             && !excluded.contains(&upstream.id)
             && !node.upstream_ends.is_silent(upstream)
             && node.send_permits.pause(upstream, now).is_none()
--- a/crates/tarragon_node/src/engine_requests.rs
+++ b/crates/tarragon_node/src/engine_requests.rs
@@ -64,8 +64,8 @@
 
 /// Continues a broken stream on another engine after the event `resume_after`.
 ///
-/// Returns `None` when no engine can continue it. Only an engine that runs the adapter version that
-/// began the stream may do so, since another version would generate a different text.
+/// Returns `None` when no engine can continue it. Only an engine with the software version and the
+/// adapter version that began the stream may do so, since others would generate a different text.
 pub async fn resume(
     node: &SharedNode,
     request: &CallerRequest,
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -18,6 +18,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use http::header::{CONTENT_TYPE, HeaderValue};
+use rail_origin::SoftwarePin;
 use rail_route::{AttemptOutcome, RouteKind, Upstream};
 use rail_upstream::{
     BodyContent, Completeness, EventSplitter, Framing, UpstreamResponse, max_stream_bytes,
@@ -85,6 +86,15 @@
         }
     }
 
+    /// Records that a part of the body was passed on, after which only engines of the same software
+    /// version may continue a stream.
+    fn pin_software(&self) {
+        let mut pin = self.request.pin.borrow_mut();
+        if *pin == SoftwarePin::Any && self.event_splitter.is_some() {
+            *pin = SoftwarePin::Only(self.upstream.software.clone());
+        }
+    }
+
     /// Returns the next part of the body, or an error that closes the caller's connection.
     async fn next(mut self) -> Option<(Result<Bytes, ResponseTruncated>, Self)> {
         loop {
@@ -103,6 +113,7 @@
                     continue;
                 }
                 self.record_part();
+                self.pin_software();
                 return Some((Ok(part), self));
             }
             let content =
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -11,8 +11,9 @@
 use bytes::Bytes;
 use rail_limit::RequestRate;
 use rail_member::RecordAges;
+use rail_origin::SoftwarePin;
 use rail_request::{Fingerprint, QuarantineKey};
-use rail_route::{Route, RouteKind, SoftwareVersion, UpstreamId};
+use rail_route::{Route, RouteKind, SoftwareVersion, Upstream, UpstreamId};
 use rail_site::CallerHeaders;
 use rail_upstream::{BodyContent, BodyEnd, Completeness, Framing, UpstreamResponse};
 use std::{
@@ -73,8 +74,10 @@
     pub record_ages: Cell<RecordAges>,
     /// Limit that the last upstream named, with its age.
     pub limit: Cell<Option<(RequestRate, Duration)>>,
-    /// Software version of the upstream that answered last.
-    pub software: RefCell<Option<SoftwareVersion>>,
+    /// Software version of the upstream that answered last; empty before an answer.
+    pub software: RefCell<SoftwareVersion>,
+    /// Software version at which the stream has to go on.
+    pub pin: RefCell<SoftwarePin>,
     /// Framing and end of the last response body that an upstream sent.
     pub last_body: Cell<Option<(Framing, BodyEnd)>>,
     /// State of the process, for the log line on drop.
@@ -107,6 +110,12 @@
         self.answering_since.get().map(|since| since.elapsed())
     }
 
+    /// Returns whether the software of an upstream may answer this request: all events of a stream
+    /// come from one version.
+    pub fn may_run_on(&self, upstream: &Upstream) -> bool {
+        self.pin.borrow().admits(&upstream.software)
+    }
+
     /// Counts an attempt that did not run at its upstream.
     pub fn record_not_run(&self) {
         self.attempts_not_run.set(self.attempts_not_run.get() + 1);
@@ -192,7 +201,7 @@
         record_ages: request.record_ages.get(),
         limit_per_s: request.limit.get().map(|(rate, _)| rate.requests_per_s()),
         limit_age_ms: request.limit.get().map(|(_, age)| age.as_millis() as u64),
-        software: software.as_deref(),
+        software: (!software.is_empty()).then_some(software.as_str()),
         resumes: request.parsed_headers.resumes.as_deref(),
         framing: last_body.map(|(framing, _)| framing.name()),
         ending: last_body.map(|(_, end)| end.name()),
