--- a/crates/rail_origin/src/lib.rs
+++ b/crates/rail_origin/src/lib.rs
@@ -3,11 +3,32 @@
 //! Upstreams of several software versions may serve side by side. What two versions write does not
 //! fit together, so all events of a stream come from one version. Nothing here does I/O or reads a
 //! clock.
+//!
+//! * [`SoftwarePin`] says which versions may answer a request.
+//! * [`OriginTable`] remembers at which version streams began.
+//! * [`SeenVersions`] remembers which versions served lately. While that is one, every stream began at
+//!   it, and nothing has to be told.
+//! * [`OriginKnowledge`] is what one host knows about a stream; hosts combine it.
 
+pub mod keepers;
+pub mod knowledge;
 pub mod pin;
+pub mod table;
+pub mod versions;
 
 /// Commonly used items.
 pub mod prelude {
-    pub use crate::pin::SoftwarePin;
+    pub use crate::{
+        keepers::rank_keepers,
+        knowledge::OriginKnowledge,
+        pin::SoftwarePin,
+        table::{OriginTable, StreamKey},
+        versions::SeenVersions,
+    };
 }
 pub use prelude::*;
+
+use std::time::Duration;
+
+/// Time for which the origin of a stream is kept: longer than any caller resumes it.
+pub const RETENTION: Duration = Duration::from_secs(30);
--- a/crates/rail_peer/src/configuration.rs
+++ b/crates/rail_peer/src/configuration.rs
@@ -147,7 +147,9 @@
             | PeerReply::Grant(_)
             | PeerReply::Quarantine(_)
             | PeerReply::Trial(_)
-            | PeerReply::SendPermit(_) => {
+            | PeerReply::SendPermit(_)
+            | PeerReply::StreamStarts
+            | PeerReply::StreamOrigin(_) => {
                 return Err(Error::InvalidMessage);
             }
         }
--- a/crates/rail_peer/src/lib.rs
+++ b/crates/rail_peer/src/lib.rs
@@ -31,7 +31,7 @@
         message::{
             ChangesRequest, FeedItem, GrantReply, GrantRequest, LimitNews, PeerReply, PeerRequest,
             PermitReply, PermitRequest, QuarantineExchange, SendPermitReply, SendPermitRequest,
-            TrialReply, TrialRequest, release_code,
+            StreamOriginRequest, StreamStarts, TrialReply, TrialRequest, release_code,
         },
         server::{IncomingCall, PeerServer, ReplySender},
     };
--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -5,9 +5,12 @@
 use rail_member::{
     Heartbeat, HeartbeatUpdate, HostHeartbeat, RecordAges, RecordText, replica::RecordKind,
 };
+use rail_origin::{OriginKnowledge, StreamKey};
 use rail_request::{RecordNews, WorkEvent, WorkOrder};
 use rail_revision::Revision;
+use rail_route::{ServiceId, SoftwareVersion};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 
 /// A request from one process to another.
 ///
@@ -52,6 +55,28 @@
     Changes(ChangesRequest),
     /// Tells of the limit that an upstream names, and requests a permit to send it a request.
     SendPermit(SendPermitRequest),
+    /// Tells at which software versions streams began.
+    StreamStarts(StreamStarts),
+    /// Asks at which software version a stream began.
+    StreamOrigin(StreamOriginRequest),
+}
+
+/// Streams of a service that began lately, by the software version at which they began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamStarts {
+    /// Service of the streams.
+    pub service: ServiceId,
+    /// Streams by version.
+    pub streams: BTreeMap<SoftwareVersion, Vec<StreamKey>>,
+}
+
+/// Asks at which software version a stream began.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOriginRequest {
+    /// Service of the stream.
+    pub service: ServiceId,
+    /// The stream.
+    pub stream: StreamKey,
 }
 
 /// The limit of one start of an upstream, as a host knows it.
@@ -302,4 +327,8 @@
     Trial(TrialReply),
     /// Decision on a request to an upstream that names a limit.
     SendPermit(SendPermitReply),
+    /// The streams were recorded.
+    StreamStarts,
+    /// What the replying process knows about the origin of a stream.
+    StreamOrigin(OriginKnowledge),
 }
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -150,6 +150,7 @@
         limit: Cell::new(None),
         software: RefCell::default(),
         pin: RefCell::default(),
+        origin_source: Cell::new(None),
         last_body: Cell::new(None),
         node: Rc::clone(&node),
     };
--- a/crates/tarragon_node/src/engine_requests.rs
+++ b/crates/tarragon_node/src/engine_requests.rs
@@ -10,6 +10,7 @@
     reply::Failure,
     request::{CallerRequest, InFlight, fail_request, quarantine_response},
     send_permits,
+    stream_origins::{self, NoOrigin},
 };
 use actix_http::{Response, body::BoxBody};
 use http::StatusCode;
@@ -189,6 +190,9 @@
     request: &CallerRequest,
     retry_state: &mut RetryState,
 ) -> Result<StartedResponse, Response<BoxBody>> {
+    if let Err(reason) = stream_origins::pin_resumed(node, request).await {
+        return Err(no_origin_response(node, request, reason));
+    }
     for _ in 0..MAX_ATTEMPTS {
         let candidates = || engine_grants::candidates(node, request, &retry_state.excluded);
         let admission = match quarantine::admit(node, request, candidates).await {
@@ -264,6 +268,19 @@
     Err(fail_request(node, request, Failure::Busy, Some(MIN_RETRY_AFTER), ""))
 }
 
+fn no_origin_response(
+    node: &SharedNode,
+    request: &CallerRequest,
+    reason: NoOrigin,
+) -> Response<BoxBody> {
+    let (failure, retry_after) = match reason {
+        NoOrigin::Unknown(retry_after) => (Failure::OriginUnknown, retry_after),
+        // The version doesn't return while the caller waits.
+        NoOrigin::VersionGone => (Failure::VersionGone, request.time_left()),
+    };
+    fail_request(node, request, failure, Some(retry_after), "")
+}
+
 fn no_grant_response(
     node: &SharedNode,
     request: &CallerRequest,
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -185,6 +185,9 @@
         /// Request that began the stream which this one resumes, as the caller named it.
         #[serde(skip_serializing_if = "Option::is_none")]
         resumes: Option<&'a str>,
+        /// Source that knew the software version at which the resumed stream began.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        origin: Option<&'static str>,
         /// How the body of the upstream's response was framed, if there was one.
         #[serde(skip_serializing_if = "Option::is_none")]
         framing: Option<&'static str>,
--- a/crates/tarragon_node/src/metrics.rs
+++ b/crates/tarragon_node/src/metrics.rs
@@ -25,6 +25,8 @@
     pub attempts: ReasonCounters,
     /// Permits for requests to upstreams that name a limit, by decision.
     pub send_permits: ReasonCounters,
+    /// Streams that callers resumed, by the source that knew the software version.
+    pub stream_origins: ReasonCounters,
     /// Bodies of upstreams' responses by framing, end and completeness.
     pub body_ends: ReasonCounters,
     /// Calls to the store by outcome.
@@ -114,6 +116,10 @@
                 "send_permits",
                 "Permits for requests to upstreams that name a limit, by decision",
             ),
+            stream_origins: registry.reason_counters(
+                "stream_origins",
+                "Streams that callers resumed, by the source that knew their software version",
+            ),
             body_ends: registry.reason_counters(
                 "body_ends",
                 "Bodies of upstreams' responses by framing, end and completeness",
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -3,7 +3,8 @@
 use crate::{
     bad_records::BadRecords, engines::OwnedEngines, events::Events, metrics::NodeMetrics,
     peers::Peers, quarantine::Quarantine, registry::Registry, send_permits::SendPermits,
-    store_health::StoreHealth, upstream_ends::UpstreamEnds, upstream_loads::UpstreamLoads,
+    store_health::StoreHealth, stream_origins::StreamOrigins, upstream_ends::UpstreamEnds,
+    upstream_loads::UpstreamLoads,
 };
 use rail_lease::{ReturnGuard, host_lease::HostLease};
 use rail_member::{
@@ -117,6 +118,8 @@
     pub upstream_loads: UpstreamLoads,
     /// Limits that upstreams name, and permits for requests to them.
     pub send_permits: SendPermits,
+    /// Software versions at which streams began.
+    pub stream_origins: StreamOrigins,
     /// Requests that crash their upstreams.
     pub quarantine: Quarantine,
     /// Checks whether upstreams that lost requests have ended.
--- a/crates/tarragon_node/src/peer_calls.rs
+++ b/crates/tarragon_node/src/peer_calls.rs
@@ -5,7 +5,7 @@
     feed,
     node::{Node, SharedNode},
     peers::merge_heartbeats,
-    quarantine, quarantine_news, send_permits,
+    quarantine, quarantine_news, send_permits, stream_origins,
 };
 use rail_peer::{
     GrantReply, GrantRequest, IncomingCall, PeerReply, PeerRequest, ReplySender, release_code,
@@ -63,6 +63,22 @@
                     }
                 });
             }
+            PeerRequest::StreamStarts(starts) => {
+                stream_origins::record_told(&node, starts);
+                actix_rt::spawn(async move {
+                    if replies.send(&PeerReply::StreamStarts).await.is_ok() {
+                        replies.finish();
+                    }
+                });
+            }
+            PeerRequest::StreamOrigin(question) => {
+                let knowledge = stream_origins::answer(&node, &question);
+                actix_rt::spawn(async move {
+                    if replies.send(&PeerReply::StreamOrigin(knowledge)).await.is_ok() {
+                        replies.finish();
+                    }
+                });
+            }
             PeerRequest::Trial(call) => {
                 actix_rt::spawn(quarantine::serve_trial(Rc::clone(&node), call, replies));
             }
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -4,7 +4,7 @@
     bad_records,
     events::Event,
     node::{Node, OwnerRecord, Ownership, SharedNode},
-    store_return,
+    store_return, stream_origins,
 };
 use rail_member::{
     Confirmations, RecordText, outage,
@@ -451,6 +451,7 @@
         (known.id == upstream.id) != (known.address == upstream.address)
             || (known.id == upstream.id && known.started_unix_ms != upstream.started_unix_ms)
     });
+    stream_origins::observe_upstream(node, &upstream);
     upstreams.insert(upstream);
     drop(upstreams);
     if is_restart {
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -9,7 +9,7 @@
     quarantine::{self, Admission},
     reply,
     request::{CallerRequest, InFlight, RequestEnd, kind_name, record_request_end},
-    upstream_ends,
+    stream_origins, upstream_ends,
 };
 use actix_http::{
     Response,
@@ -92,6 +92,7 @@
         let mut pin = self.request.pin.borrow_mut();
         if *pin == SoftwarePin::Any && self.event_splitter.is_some() {
             *pin = SoftwarePin::Only(self.upstream.software.clone());
+            stream_origins::record_start(&self.node, &self.request, &self.upstream);
         }
     }
 
@@ -257,7 +258,7 @@
     let connection_end = request.connection_end.clone();
     let relay = Relay {
         event_splitter: is_event_stream.then(EventSplitter::default),
-        is_resumable: request.route.kind == RouteKind::Stream { resumable: true },
+        is_resumable: request.is_resumable(),
         ends_with_connection,
         body_bytes: 0,
         node,
--- a/crates/tarragon_node/src/reply.rs
+++ b/crates/tarragon_node/src/reply.rs
@@ -36,6 +36,10 @@
     Busy,
     /// No upstream of the service is usable.
     NoUpstream,
+    /// The caller resumes a stream, and nobody knows which software version began it.
+    OriginUnknown,
+    /// The caller resumes a stream of a software version that no upstream runs any more.
+    VersionGone,
     /// The connection to the upstream broke, or its response was not usable.
     UpstreamLost,
     /// The request has crashed upstreams and is refused.
@@ -58,6 +62,8 @@
             Self::LateSent => "late_sent",
             Self::Busy => "busy",
             Self::NoUpstream => "no_upstream",
+            Self::OriginUnknown => "origin_unknown",
+            Self::VersionGone => "version_gone",
             Self::UpstreamLost => "upstream_lost",
             Self::Quarantined => "quarantined",
             Self::TrialRunning => "trial_running",
@@ -73,6 +79,8 @@
             | Self::Busy
             | Self::NoUpstream
             | Self::LateUnsent
+            | Self::OriginUnknown
+            | Self::VersionGone
             | Self::Quarantined
             | Self::TrialRunning => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -78,6 +78,8 @@
     pub software: RefCell<SoftwareVersion>,
     /// Software version at which the stream has to go on.
     pub pin: RefCell<SoftwarePin>,
+    /// Source that knew the software version of the resumed stream.
+    pub origin_source: Cell<Option<&'static str>>,
     /// Framing and end of the last response body that an upstream sent.
     pub last_body: Cell<Option<(Framing, BodyEnd)>>,
     /// State of the process, for the log line on drop.
@@ -110,6 +112,11 @@
         self.answering_since.get().map(|since| since.elapsed())
     }
 
+    /// Returns whether the answer is a stream that the caller may resume.
+    pub fn is_resumable(&self) -> bool {
+        self.route.kind == RouteKind::Stream { resumable: true }
+    }
+
     /// Returns whether the software of an upstream may answer this request: all events of a stream
     /// come from one version.
     pub fn may_run_on(&self, upstream: &Upstream) -> bool {
@@ -203,6 +210,7 @@
         limit_age_ms: request.limit.get().map(|(_, age)| age.as_millis() as u64),
         software: (!software.is_empty()).then_some(software.as_str()),
         resumes: request.parsed_headers.resumes.as_deref(),
+        origin: request.origin_source.get(),
         framing: last_body.map(|(framing, _)| framing.name()),
         ending: last_body.map(|(_, end)| end.name()),
     };
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -18,6 +18,7 @@
     registry::Registry,
     send_permits::{self, SendPermits},
     store_health::StoreHealth,
+    stream_origins::{self, StreamOrigins},
     upstream_ends::UpstreamEnds,
     upstream_loads::UpstreamLoads,
 };
@@ -89,6 +90,7 @@
     refresh::spawn(&node);
     lease::spawn(&node);
     quarantine_news::spawn(&node);
+    stream_origins::spawn(&node);
     OwnedEngines::spawn(&node);
     actix_rt::spawn(join_fleet(Rc::clone(&node)));
     actix_rt::spawn(prune(Rc::clone(&node)));
@@ -129,6 +131,7 @@
         retry_budgets: RefCell::default(),
         upstream_loads: UpstreamLoads::default(),
         send_permits: SendPermits::default(),
+        stream_origins: StreamOrigins::default(),
         quarantine: Quarantine::default(),
         upstream_ends: UpstreamEnds::default(),
         hosts: RefCell::default(),
@@ -176,6 +179,7 @@
         let now_ms = quarantine_news::now_ms(&node);
         node.quarantine.table.borrow_mut().prune(now_ms);
         send_permits::prune(&node);
+        stream_origins::prune(&node);
         let upstreams = node.upstreams.borrow();
         let is_known = |id: &str| upstreams.find(id).is_some();
         node.outlier_detector.borrow_mut().retain(is_known);
--- /dev/null
+++ b/crates/tarragon_node/src/stream_origins.rs
@@ -0,0 +1,303 @@
+//! Software versions at which streams began, so that a caller can resume one at any host.
+//!
+//! Each host remembers the streams that it began. While a service has several versions, it tells
+//! the two hosts that keep the origins of the service's streams, and a host that does not know a
+//! stream asks them. While a service has had one version only, nothing is told.
+
+use crate::{
+    node::{Node, SharedNode},
+    request::CallerRequest,
+};
+use futures_util::{StreamExt, stream::FuturesUnordered};
+use rail_origin::{
+    OriginKnowledge, OriginTable, SeenVersions, SoftwarePin, StreamKey, rank_keepers,
+};
+use rail_peer::{PeerReply, PeerRequest, StreamOriginRequest, StreamStarts};
+use rail_route::{ServiceId, SoftwareVersion, Upstream};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{sync::Notify, time::timeout};
+
+/// Hosts that are told of each stream.
+const KEEPERS: usize = 2;
+/// Hosts that are asked; a host that joins may keep a place in the order without knowing earlier
+/// streams.
+const ASKED_HOSTS: usize = 3;
+/// Shortest time between two messages of new streams.
+const TELL_INTERVAL: Duration = Duration::from_millis(40);
+/// Time in which a host must reply.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(120);
+/// Time after which a stream whose keepers are silent may be found.
+const SILENT_KEEPERS_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+type StreamsByVersion = BTreeMap<SoftwareVersion, Vec<StreamKey>>;
+
+/// What this host knows of the origins of streams.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    tables: RefCell<BTreeMap<ServiceId, OriginTable>>,
+    seen: RefCell<SeenVersions>,
+    /// Streams that the keepers have yet to learn.
+    to_tell: RefCell<BTreeMap<ServiceId, StreamsByVersion>>,
+    is_telling_due: Notify,
+}
+
+impl StreamOrigins {
+    /// Returns what this host alone knows of a stream.
+    fn knowledge(
+        &self,
+        service: &str,
+        stream: Option<StreamKey>,
+        now: Duration,
+    ) -> OriginKnowledge {
+        let tables = self.tables.borrow();
+        let found = stream.and_then(|stream| tables.get(service)?.find(stream));
+        match found {
+            Some(version) => OriginKnowledge::Began(version),
+            None => self.seen.borrow().knowledge(service, now),
+        }
+    }
+
+    fn record(&self, service: &str, software: &str, stream: StreamKey, now: Duration) {
+        let mut tables = self.tables.borrow_mut();
+        tables.entry(service.to_owned()).or_default().record(stream, software, now);
+    }
+
+    fn queue(&self, service: &str, software: &str, streams: impl IntoIterator<Item = StreamKey>) {
+        let mut to_tell = self.to_tell.borrow_mut();
+        let versions = to_tell.entry(service.to_owned()).or_default();
+        versions.entry(software.to_owned()).or_default().extend(streams);
+        self.is_telling_due.notify_one();
+    }
+
+    /// Records that a version of a service serves. From the second one on, the keepers have to know
+    /// streams that began before it too.
+    fn observe(&self, service: &str, software: &str, now: Duration) {
+        let mut seen = self.seen.borrow_mut();
+        let was_mixed = seen.is_mixed(service);
+        seen.observe(service, software, now);
+        if was_mixed || !seen.is_mixed(service) {
+            return;
+        }
+        if let Some(table) = self.tables.borrow().get(service) {
+            for (stream, version) in table.iter() {
+                self.queue(service, version, [stream]);
+            }
+        }
+    }
+}
+
+/// Why a stream can't be resumed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoOrigin {
+    /// Nobody knows at which version the stream began.
+    Unknown(Duration),
+    /// No upstream of the version serves any more.
+    VersionGone,
+}
+
+/// Spawns the task that tells keepers of new streams.
+pub fn spawn(node: &SharedNode) {
+    actix_rt::spawn(tell_keepers(Rc::clone(node)));
+}
+
+/// Records the software version of a registered upstream.
+pub fn observe_upstream(node: &Node, upstream: &Upstream) {
+    node.stream_origins.observe(&upstream.service, &upstream.software, node.now());
+}
+
+/// Records the versions that serve, and forgets streams that no caller resumes any more.
+pub fn prune(node: &Node) {
+    let (origins, now) = (&node.stream_origins, node.now());
+    for upstream in node.upstreams.borrow().iter() {
+        observe_upstream(node, upstream);
+    }
+    origins.seen.borrow_mut().prune(now);
+    origins.tables.borrow_mut().retain(|_, table| {
+        table.prune(now);
+        !table.is_empty()
+    });
+}
+
+/// Records that an upstream has sent the first event of a stream that its caller may resume.
+pub fn record_start(node: &Node, request: &CallerRequest, upstream: &Upstream) {
+    let is_new = request.parsed_headers.last_event_id.is_none();
+    if !is_new || !request.is_resumable() {
+        return;
+    }
+    let (origins, service) = (&node.stream_origins, &request.service);
+    let stream = StreamKey::of(&request.parsed_headers.request_id);
+    origins.record(service, &upstream.software, stream, node.now());
+    if origins.seen.borrow().is_mixed(service) {
+        origins.queue(service, &upstream.software, [stream]);
+    }
+}
+
+/// Finds the software version at which a stream began that the caller resumes, and restricts the
+/// request to it. Other requests are left as they are.
+///
+/// # Errors
+/// Returns why the stream can't go on.
+pub async fn pin_resumed(node: &SharedNode, request: &CallerRequest) -> Result<(), NoOrigin> {
+    if request.parsed_headers.last_event_id.is_none() || !request.is_resumable() {
+        return Ok(());
+    }
+    let stream = request.parsed_headers.resumes.as_deref().map(StreamKey::of);
+    let (version, source) = find_origin(node, &request.service, stream).await;
+    node.metrics.stream_origins.count(source);
+    request.origin_source.set(Some(source));
+    let version = version.map_err(|retry_after| {
+        NoOrigin::Unknown(retry_after.unwrap_or_else(|| request.time_left()))
+    })?;
+    let serves = |upstream: &&Arc<Upstream>| upstream.software == version;
+    if !node.upstreams.borrow().ready(&request.service).any(|upstream| serves(&upstream)) {
+        return Err(NoOrigin::VersionGone);
+    }
+    *request.pin.borrow_mut() = SoftwarePin::Only(version);
+    Ok(())
+}
+
+/// Returns the version at which a stream began and the source that knew it, or the time after which
+/// it may be known, if ever.
+async fn find_origin(
+    node: &SharedNode,
+    service: &str,
+    stream: Option<StreamKey>,
+) -> (Result<SoftwareVersion, Option<Duration>>, &'static str) {
+    let own = node.stream_origins.knowledge(service, stream, node.now());
+    if let OriginKnowledge::Began(version) = own {
+        return (Ok(version), "local");
+    }
+    let Answers { knowledge, is_any_silent } = match stream {
+        Some(stream) => ask_keepers(node, service, stream).await,
+        None => Answers::default(),
+    };
+    match own.combine(knowledge) {
+        OriginKnowledge::Began(version) => (Ok(version), "keeper"),
+        OriginKnowledge::Only(version) => (Ok(version), "only_version"),
+        OriginKnowledge::Unaware => match registered_version(node, service) {
+            Some(version) => (Ok(version), "registered"),
+            None => (Err(Some(SILENT_KEEPERS_RETRY_AFTER)), "unknown"),
+        },
+        OriginKnowledge::Unrecorded => {
+            (Err(is_any_silent.then_some(SILENT_KEEPERS_RETRY_AFTER)), "unknown")
+        }
+    }
+}
+
+/// Returns the version of all registered upstreams of a service, if they have the same.
+fn registered_version(node: &Node, service: &str) -> Option<SoftwareVersion> {
+    let upstreams = node.upstreams.borrow();
+    let of_service = upstreams.iter().filter(|upstream| upstream.service == service);
+    let versions: BTreeSet<&SoftwareVersion> =
+        of_service.map(|upstream| &upstream.software).collect();
+    match versions.len() {
+        1 => versions.first().map(ToString::to_string),
+        _ => None,
+    }
+}
+
+/// What other hosts know of a stream.
+struct Answers {
+    knowledge: OriginKnowledge,
+    /// Whether a host did not reply.
+    is_any_silent: bool,
+}
+
+impl Default for Answers {
+    fn default() -> Self {
+        Self { knowledge: OriginKnowledge::Unaware, is_any_silent: false }
+    }
+}
+
+/// Asks the keepers of a service's streams at once, until one knows the stream.
+async fn ask_keepers(node: &SharedNode, service: &str, stream: StreamKey) -> Answers {
+    let mut questions: FuturesUnordered<_> = keepers(node, service)
+        .into_iter()
+        .flatten()
+        .take(ASKED_HOSTS)
+        .map(|peer| ask(node, peer, StreamOriginRequest { service: service.to_owned(), stream }))
+        .collect();
+    let mut answers = Answers::default();
+    while let Some(answer) = questions.next().await {
+        match answer {
+            Some(knowledge) => answers.knowledge = answers.knowledge.combine(knowledge),
+            None => answers.is_any_silent = true,
+        }
+        if matches!(answers.knowledge, OriginKnowledge::Began(_)) {
+            break;
+        }
+    }
+    answers
+}
+
+async fn ask(
+    node: &SharedNode,
+    peer: SocketAddr,
+    question: StreamOriginRequest,
+) -> Option<OriginKnowledge> {
+    match call(node, peer, PeerRequest::StreamOrigin(question)).await? {
+        PeerReply::StreamOrigin(knowledge) => Some(knowledge),
+        _ => None,
+    }
+}
+
+async fn call(node: &SharedNode, peer: SocketAddr, request: PeerRequest) -> Option<PeerReply> {
+    let mesh = node.peers.mesh()?;
+    let reply = async { mesh.call(peer, &request).await.ok()?.next().await.ok()? };
+    timeout(REPLY_TIMEOUT, reply).await.ok().flatten()
+}
+
+/// Returns the live hosts in the order in which they keep the origins of a service's streams; this
+/// host has no address.
+fn keepers(node: &Node, service: &str) -> Vec<Option<SocketAddr>> {
+    let hosts = node.hosts.borrow();
+    let names = hosts.live(node.now()).map(|heartbeat| heartbeat.host.as_str());
+    let address = |host: &str| {
+        let is_other = host != node.settings.host;
+        is_other.then(|| hosts.find(host).map(|heartbeat| heartbeat.peer_address)).flatten()
+    };
+    rank_keepers(service, names).map(address).collect()
+}
+
+/// Returns what this host knows of a stream to a host that asks.
+pub fn answer(node: &Node, question: &StreamOriginRequest) -> OriginKnowledge {
+    node.stream_origins.knowledge(&question.service, Some(question.stream), node.now())
+}
+
+/// Records streams that another host began.
+pub fn record_told(node: &Node, starts: StreamStarts) {
+    let now = node.now();
+    for (version, streams) in starts.streams {
+        node.stream_origins.observe(&starts.service, &version, now);
+        for stream in streams {
+            node.stream_origins.record(&starts.service, &version, stream, now);
+        }
+    }
+}
+
+/// Tells the keepers of new streams, at once after a pause and at a bounded rate.
+async fn tell_keepers(node: SharedNode) {
+    let origins = &node.stream_origins;
+    loop {
+        origins.is_telling_due.notified().await;
+        let batches = std::mem::take(&mut *origins.to_tell.borrow_mut());
+        for (service, streams) in batches {
+            let keepers = keepers(&node, &service);
+            for peer in keepers.into_iter().take(KEEPERS).flatten() {
+                let starts = StreamStarts { service: service.clone(), streams: streams.clone() };
+                let node = Rc::clone(&node);
+                actix_rt::spawn(async move {
+                    call(&node, peer, PeerRequest::StreamStarts(starts)).await
+                });
+            }
+        }
+        tokio::time::sleep(TELL_INTERVAL).await;
+    }
+}
--- a/crates/tarragon_scheduler/src/serve.rs
+++ b/crates/tarragon_scheduler/src/serve.rs
@@ -62,7 +62,9 @@
                 | PeerRequest::Quarantine(_)
                 | PeerRequest::Trial(_)
                 | PeerRequest::Changes(_)
-                | PeerRequest::SendPermit(_) => {}
+                | PeerRequest::SendPermit(_)
+                | PeerRequest::StreamStarts(_)
+                | PeerRequest::StreamOrigin(_) => {}
                 PeerRequest::Witness(request) => {
                     let answer = session.answer_as_witness(request);
                     actix_rt::spawn(reply_once(PeerReply::Witness(answer), replies));
