--- a/crates/rail_origin/src/lib.rs
+++ b/crates/rail_origin/src/lib.rs
@@ -8,8 +8,10 @@
 //! * [`OriginTable`] remembers at which version streams began.
 //! * [`SeenVersions`] remembers which versions served lately. While that is one, every stream began at
 //!   it, and nothing has to be told.
+//! * [`OriginJournal`] is what a keeper stores of them.
 //! * [`OriginKnowledge`] is what one host knows about a stream; hosts combine it.
 
+pub mod journal;
 pub mod keepers;
 pub mod knowledge;
 pub mod pin;
@@ -19,6 +21,7 @@
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
+        journal::{OriginJournal, Slot, StoredOrigins, StreamsByVersion},
         keepers::rank_keepers,
         knowledge::OriginKnowledge,
         pin::SoftwarePin,
--- a/crates/tarragon_node/src/main.rs
+++ b/crates/tarragon_node/src/main.rs
@@ -37,6 +37,7 @@
 mod service_requests;
 mod store_health;
 mod store_return;
+mod stored_origins;
 mod stream_origins;
 mod upstream_ends;
 mod upstream_loads;
--- a/crates/tarragon_node/src/stream_origins.rs
+++ b/crates/tarragon_node/src/stream_origins.rs
@@ -2,15 +2,17 @@
 //!
 //! Each host remembers the streams that it began. While a service has several versions, it tells
 //! the two hosts that keep the origins of the service's streams, and a host that does not know a
-//! stream asks them. While a service has had one version only, nothing is told.
+//! stream asks them, then the store. While a service has had one version only, nothing is told.
 
 use crate::{
     node::{Node, SharedNode},
     request::CallerRequest,
+    stored_origins::{self, StreamStore},
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use rail_origin::{
-    OriginKnowledge, OriginTable, SeenVersions, SoftwarePin, StreamKey, rank_keepers,
+    OriginKnowledge, OriginTable, SeenVersions, SoftwarePin, StreamKey, StreamsByVersion,
+    rank_keepers,
 };
 use rail_peer::{PeerReply, PeerRequest, StreamOriginRequest, StreamStarts};
 use rail_route::{ServiceId, SoftwareVersion, Upstream};
@@ -33,10 +35,8 @@
 const TELL_INTERVAL: Duration = Duration::from_millis(40);
 /// Time in which a host must reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(120);
-/// Time after which a stream whose keepers are silent may be found.
-const SILENT_KEEPERS_RETRY_AFTER: Duration = Duration::from_millis(500);
-
-type StreamsByVersion = BTreeMap<SoftwareVersion, Vec<StreamKey>>;
+/// Time after which a stream may be found, if a keeper or the store did not answer.
+const SILENT_SOURCE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// What this host knows of the origins of streams.
 #[derive(Debug, Default)]
@@ -46,6 +46,8 @@
     /// Streams that the keepers have yet to learn.
     to_tell: RefCell<BTreeMap<ServiceId, StreamsByVersion>>,
     is_telling_due: Notify,
+    /// Streams in the store.
+    pub store: StreamStore,
 }
 
 impl StreamOrigins {
@@ -102,8 +104,9 @@
     VersionGone,
 }
 
-/// Spawns the task that tells keepers of new streams.
+/// Spawns the tasks that tell keepers of new streams and store them.
 pub fn spawn(node: &SharedNode) {
+    actix_rt::spawn(stored_origins::write_changed(Rc::clone(node)));
     actix_rt::spawn(tell_keepers(Rc::clone(node)));
 }
 
@@ -178,15 +181,24 @@
         Some(stream) => ask_keepers(node, service, stream).await,
         None => Answers::default(),
     };
-    match own.combine(knowledge) {
-        OriginKnowledge::Began(version) => (Ok(version), "keeper"),
+    let told = own.combine(knowledge);
+    match told {
+        OriginKnowledge::Began(version) => return (Ok(version), "keeper"),
+        OriginKnowledge::Only(version) => return (Ok(version), "only_version"),
+        OriginKnowledge::Unaware | OriginKnowledge::Unrecorded => {}
+    }
+    let Some(stored) = stored_origins::read(node, service, stream).await else {
+        return (Err(Some(SILENT_SOURCE_RETRY_AFTER)), "store_silent");
+    };
+    match told.combine(stored) {
+        OriginKnowledge::Began(version) => (Ok(version), "store"),
         OriginKnowledge::Only(version) => (Ok(version), "only_version"),
         OriginKnowledge::Unaware => match registered_version(node, service) {
             Some(version) => (Ok(version), "registered"),
-            None => (Err(Some(SILENT_KEEPERS_RETRY_AFTER)), "unknown"),
+            None => (Err(None), "unknown"),
         },
         OriginKnowledge::Unrecorded => {
-            (Err(is_any_silent.then_some(SILENT_KEEPERS_RETRY_AFTER)), "unknown")
+            (Err(is_any_silent.then_some(SILENT_SOURCE_RETRY_AFTER)), "unknown")
         }
     }
 }
@@ -218,12 +230,13 @@
 
 /// Asks the keepers of a service's streams at once, until one knows the stream.
 async fn ask_keepers(node: &SharedNode, service: &str, stream: StreamKey) -> Answers {
-    let mut questions: FuturesUnordered<_> = keepers(node, service)
-        .into_iter()
-        .flatten()
-        .take(ASKED_HOSTS)
-        .map(|peer| ask(node, peer, StreamOriginRequest { service: service.to_owned(), stream }))
-        .collect();
+    let others = keepers(node, service).into_iter().filter_map(|keeper| match keeper {
+        Keeper::Other(peer) => Some(peer),
+        Keeper::ThisHost => None,
+    });
+    let question = StreamOriginRequest { service: service.to_owned(), stream };
+    let mut questions: FuturesUnordered<_> =
+        others.take(ASKED_HOSTS).map(|peer| ask(node, peer, question.clone())).collect();
     let mut answers = Answers::default();
     while let Some(answer) = questions.next().await {
         match answer {
@@ -254,16 +267,24 @@
     timeout(REPLY_TIMEOUT, reply).await.ok().flatten()
 }
 
-/// Returns the live hosts in the order in which they keep the origins of a service's streams; this
-/// host has no address.
-fn keepers(node: &Node, service: &str) -> Vec<Option<SocketAddr>> {
+/// A host that keeps the origins of a service's streams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Keeper {
+    ThisHost,
+    Other(SocketAddr),
+}
+
+/// Returns the live hosts in the order in which they keep the origins of a service's streams.
+fn keepers(node: &Node, service: &str) -> Vec<Keeper> {
     let hosts = node.hosts.borrow();
     let names = hosts.live(node.now()).map(|heartbeat| heartbeat.host.as_str());
-    let address = |host: &str| {
-        let is_other = host != node.settings.host;
-        is_other.then(|| hosts.find(host).map(|heartbeat| heartbeat.peer_address)).flatten()
+    let keeper = |host: &str| {
+        if host == node.settings.host {
+            return Some(Keeper::ThisHost);
+        }
+        hosts.find(host).map(|heartbeat| Keeper::Other(heartbeat.peer_address))
     };
-    rank_keepers(service, names).map(address).collect()
+    rank_keepers(service, names).filter_map(keeper).collect()
 }
 
 /// Returns what this host knows of a stream to a host that asks.
@@ -271,15 +292,19 @@
     node.stream_origins.knowledge(&question.service, Some(question.stream), node.now())
 }
 
-/// Records streams that another host began.
+/// Records streams that another host began, and stores them if this host is the first keeper.
 pub fn record_told(node: &Node, starts: StreamStarts) {
-    let now = node.now();
-    for (version, streams) in starts.streams {
-        node.stream_origins.observe(&starts.service, &version, now);
-        for stream in streams {
-            node.stream_origins.record(&starts.service, &version, stream, now);
+    let (origins, now) = (&node.stream_origins, node.now());
+    let StreamStarts { service, streams } = starts;
+    for (version, began) in &streams {
+        origins.observe(&service, version, now);
+        for stream in began {
+            origins.record(&service, version, *stream, now);
         }
     }
+    if keepers(node, &service).first() == Some(&Keeper::ThisHost) {
+        origins.store.add(&service, streams);
+    }
 }
 
 /// Tells the keepers of new streams, at once after a pause and at a bounded rate.
@@ -290,7 +315,11 @@
         let batches = std::mem::take(&mut *origins.to_tell.borrow_mut());
         for (service, streams) in batches {
             let keepers = keepers(&node, &service);
-            for peer in keepers.into_iter().take(KEEPERS).flatten() {
+            if keepers.first() == Some(&Keeper::ThisHost) {
+                origins.store.add(&service, streams.clone());
+            }
+            for keeper in keepers.into_iter().take(KEEPERS) {
+                let Keeper::Other(peer) = keeper else { continue };
                 let starts = StreamStarts { service: service.clone(), streams: streams.clone() };
                 let node = Rc::clone(&node);
                 actix_rt::spawn(async move {
