Model of a fleet over releases, kills and outages; the decision where a stream goes on is pure

rail_origin::decide takes what hosts, store and registry say, so that the model asks the same function as the node. The model plays one, half and all hosts killed in five phases of two releases, 3 to 380 hosts, with and without outages of the store: no stream is joined.

--- a/crates/rail_origin/src/knowledge.rs
+++ b/crates/rail_origin/src/knowledge.rs
@@ -32,3 +32,44 @@
         }
     }
 }
+
+/// Source that knew the version of a stream, as it appears in logs and metrics.
+pub type OriginSource = &'static str;
+
+/// Why a stream can't go on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginUnknown {
+    /// A source did not answer, and may know.
+    SourceSilent,
+    /// Nobody knows the stream.
+    NotRecorded,
+}
+
+/// Decides at which version a stream goes on: by what the hosts know together, what the store says
+/// (`None` if it does not answer or was not asked), and the version of all registered upstreams of
+/// the service, if they have the same.
+///
+/// # Errors
+/// Returns why no version may continue the stream. A joined text is worse than a refusal.
+pub fn decide(
+    told: OriginKnowledge,
+    is_host_silent: bool,
+    stored: Option<OriginKnowledge>,
+    registered: Option<SoftwareVersion>,
+) -> Result<(SoftwareVersion, OriginSource), OriginUnknown> {
+    use OriginKnowledge::{Began, Only, Unaware, Unrecorded};
+    match (told, stored) {
+        (Began(version), _) => Ok((version, "hosts")),
+        (Only(version), _) => Ok((version, "only_version")),
+        (Unrecorded | Unaware, None) => Err(OriginUnknown::SourceSilent),
+        (Unrecorded | Unaware, Some(Began(version))) => Ok((version, "store")),
+        (Unaware, Some(Unaware | Only(_))) => {
+            registered.map(|version| (version, "registered")).ok_or(OriginUnknown::NotRecorded)
+        }
+        (Unrecorded, Some(_)) | (Unaware, Some(Unrecorded)) => Err(if is_host_silent {
+            OriginUnknown::SourceSilent
+        } else {
+            OriginUnknown::NotRecorded
+        }),
+    }
+}
--- a/crates/rail_origin/src/lib.rs
+++ b/crates/rail_origin/src/lib.rs
@@ -9,7 +9,8 @@
 //! * [`SeenVersions`] remembers which versions served lately. While that is one, every stream began at
 //!   it, and nothing has to be told.
 //! * [`OriginJournal`] is what a keeper stores of them.
-//! * [`OriginKnowledge`] is what one host knows about a stream; hosts combine it.
+//! * [`OriginKnowledge`] is what one host knows about a stream; hosts combine it, and [`decide`] says
+//!   where the stream goes on.
 
 pub mod journal;
 pub mod keepers;
@@ -23,7 +24,7 @@
     pub use crate::{
         journal::{OriginJournal, Slot, StoredOrigins, StreamsByVersion},
         keepers::rank_keepers,
-        knowledge::OriginKnowledge,
+        knowledge::{OriginKnowledge, OriginSource, OriginUnknown, decide},
         pin::SoftwarePin,
         table::{OriginTable, StreamKey},
         versions::SeenVersions,
--- /dev/null
+++ b/crates/rail_origin/tests/fleet.rs
@@ -0,0 +1,254 @@
+//! A fleet over a release, kills of hosts and outages of the store: every stream that goes on does
+//! so at the version that began it, and enough streams go on.
+
+use rail_origin::{
+    OriginJournal, OriginKnowledge, OriginTable, RETENTION, SeenVersions, Slot, StoredOrigins,
+    StreamKey, StreamsByVersion, decide, rank_keepers,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+const SERVICE: &str = "lm";
+const STEP: Duration = Duration::from_millis(20);
+/// Time for which a stream runs.
+const STREAM_STEPS: usize = 35;
+/// Steps between two writes of the first keeper.
+const WRITE_STEPS: u64 = 5;
+/// Steps in which a killed host is back.
+const DOWN_STEPS: u64 = 50;
+
+/// Repeatable random numbers.
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, bound: u64) -> u64 {
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
+
+#[derive(Default)]
+struct Host {
+    table: OriginTable,
+    seen: SeenVersions,
+    journal: OriginJournal,
+    /// Names of the objects that this process has written.
+    written: BTreeSet<String>,
+    up_since: u64,
+}
+
+struct Fleet {
+    hosts: Vec<Host>,
+    store: BTreeMap<String, StoredOrigins>,
+    step: u64,
+    random: Random,
+    versions: Vec<&'static str>,
+    is_store_away: bool,
+    /// Streams that run: request, host, version, steps left.
+    running: Vec<(String, usize, &'static str, usize)>,
+    joined: u32,
+    resumed: u32,
+    refused: u32,
+}
+
+impl Fleet {
+    fn new(hosts: usize, seed: u64) -> Self {
+        Self {
+            hosts: (0..hosts).map(|_| Host::default()).collect(),
+            store: BTreeMap::new(),
+            step: 0,
+            random: Random(seed),
+            versions: vec!["v1"],
+            is_store_away: false,
+            running: Vec::new(),
+            joined: 0,
+            resumed: 0,
+            refused: 0,
+        }
+    }
+
+    fn is_up(&self, host: usize) -> bool {
+        self.step >= self.hosts[host].up_since
+    }
+
+    fn time_of_day(&self) -> Duration {
+        Duration::from_secs(1_772_344_121) + STEP * self.step as u32
+    }
+
+    fn uptime(&self, host: usize) -> Duration {
+        STEP * (self.step - self.hosts[host].up_since) as u32
+    }
+
+    fn keepers(&self) -> Vec<usize> {
+        let names: Vec<String> = (0..self.hosts.len()).map(|host| host.to_string()).collect();
+        let live = names.iter().map(String::as_str);
+        let live = live.filter(|name| self.is_up(name.parse().expect("a number")));
+        rank_keepers(SERVICE, live).map(|name| name.parse().expect("a number")).collect()
+    }
+
+    /// One step: hosts see versions, streams begin and end, the first keeper writes.
+    fn advance(&mut self) {
+        self.step += 1;
+        let up: Vec<usize> = (0..self.hosts.len()).filter(|host| self.is_up(*host)).collect();
+        for host in &up {
+            let uptime = self.uptime(*host);
+            for version in &self.versions {
+                self.hosts[*host].seen.observe(SERVICE, version, uptime);
+            }
+            self.hosts[*host].seen.prune(uptime);
+        }
+        for (_, _, _, left) in &mut self.running {
+            *left -= 1;
+        }
+        self.running.retain(|(_, _, _, left)| *left > 0);
+        if !up.is_empty() {
+            self.begin_stream(&up);
+        }
+        if self.step.is_multiple_of(WRITE_STEPS) && !self.is_store_away {
+            self.write();
+        }
+    }
+
+    fn begin_stream(&mut self, up: &[usize]) {
+        let host = up[self.random.below(up.len() as u64) as usize];
+        let version = self.versions[self.random.below(self.versions.len() as u64) as usize];
+        let request = format!("{}", self.step);
+        let (stream, uptime) = (StreamKey::of(&request), self.uptime(host));
+        self.hosts[host].table.record(stream, version, uptime);
+        self.running.push((request, host, version, STREAM_STEPS));
+        if !self.hosts[host].seen.is_mixed(SERVICE) {
+            return;
+        }
+        let slot = Slot::at(self.time_of_day());
+        for (rank, keeper) in self.keepers().into_iter().take(2).enumerate() {
+            let uptime = self.uptime(keeper);
+            let keeper = &mut self.hosts[keeper];
+            keeper.seen.observe(SERVICE, version, uptime);
+            keeper.table.record(stream, version, uptime);
+            if rank == 0 {
+                let streams = StreamsByVersion::from([(version.to_owned(), vec![stream])]);
+                keeper.journal.add(slot, SERVICE, streams);
+            }
+        }
+    }
+
+    fn write(&mut self) {
+        let Some(first) = self.keepers().first().copied() else { return };
+        while let Some((slot, origins)) = self.hosts[first].journal.take_changed() {
+            let name = slot.object_name(&first.to_string());
+            let is_first_write = self.hosts[first].written.insert(name.clone());
+            match self.store.get(&name).cloned() {
+                // An object of an earlier process of the host.
+                Some(stored) if is_first_write => {
+                    self.hosts[first].journal.merge_stored(stored);
+                    self.hosts[first].journal.put_back(slot);
+                }
+                Some(_) | None => drop(self.store.insert(name, origins)),
+            }
+        }
+    }
+
+    /// Kills hosts; their streams break off, and are returned.
+    fn kill(&mut self, killed: &[usize]) -> Vec<(String, &'static str)> {
+        for host in killed {
+            self.hosts[*host] = Host { up_since: self.step + DOWN_STEPS, ..Host::default() };
+        }
+        let (broken, running) = std::mem::take(&mut self.running)
+            .into_iter()
+            .partition(|(_, host, _, _)| killed.contains(host));
+        self.running = running;
+        let broken: Vec<(String, usize, &'static str, usize)> = broken;
+        broken.into_iter().map(|(request, _, version, _)| (request, version)).collect()
+    }
+
+    /// The caller of a stream takes it up at any host that is up.
+    fn take_up(&mut self, request: &str, began_at: &str) {
+        let up: Vec<usize> = (0..self.hosts.len()).filter(|host| self.is_up(*host)).collect();
+        let host = up[self.random.below(up.len() as u64) as usize];
+        let stream = StreamKey::of(request);
+        let know = |host: usize| match self.hosts[host].table.find(stream) {
+            Some(version) => OriginKnowledge::Began(version),
+            None => self.hosts[host].seen.knowledge(SERVICE, self.uptime(host)),
+        };
+        let asked = self.keepers().into_iter().take(3);
+        let told = asked.map(know).fold(know(host), OriginKnowledge::combine);
+        let stored = self.store.values();
+        let stored =
+            stored.map(|stored| stored.knowledge(SERVICE, Some(stream), self.time_of_day()));
+        let stored = stored.fold(OriginKnowledge::Unaware, OriginKnowledge::combine);
+        let stored = (!self.is_store_away).then_some(stored);
+        let registered = (self.versions.len() == 1).then(|| self.versions[0].to_owned());
+        match decide(told, false, stored, registered) {
+            Ok((version, _)) if version == began_at => self.resumed += 1,
+            Ok(_other) => self.joined += 1,
+            Err(_unknown) => self.refused += 1,
+        }
+    }
+
+    fn take_up_all(&mut self, broken: Vec<(String, &'static str)>) {
+        for _ in 0..=DOWN_STEPS {
+            self.advance();
+        }
+        for (request, version) in broken {
+            self.take_up(&request, version);
+        }
+    }
+
+    fn advance_for(&mut self, time: Duration) {
+        for _ in 0..time.as_millis() / STEP.as_millis() {
+            self.advance();
+        }
+    }
+}
+
+/// Plays a day with kills of one, most and all hosts before, during and after a release, at times
+/// without the store. Returns the streams that were resumed, refused and joined.
+fn play(hosts: usize, seed: u64, has_outage: bool) -> (u32, u32, u32) {
+    let mut fleet = Fleet::new(hosts, seed);
+    fleet.advance_for(Duration::from_secs(8));
+    for phase in [vec!["v1"], vec!["v1", "v1.1"], vec!["v1.1"], vec!["v1.1", "v1.2"], vec!["v1.2"]]
+    {
+        fleet.versions = phase;
+        for killed in [1, hosts / 2, hosts, hosts] {
+            let pause = Duration::from_millis(200 + 20 * fleet.random.below(300));
+            fleet.advance_for(pause);
+            fleet.is_store_away = has_outage && fleet.random.below(3) == 0;
+            let killed: Vec<usize> = (0..killed).collect();
+            let broken = fleet.kill(&killed);
+            fleet.take_up_all(broken);
+            fleet.is_store_away = false;
+        }
+        // Streams of a version that left may still be resumed at first.
+        let pause = RETENTION * fleet.random.below(2) as u32;
+        fleet.advance_for(pause);
+    }
+    (fleet.resumed, fleet.refused, fleet.joined)
+}
+
+/// Guards against streams that go on at another version, and against refusals as the rule.
+#[test]
+fn streams_go_on_at_their_version_through_kills_and_releases() {
+    for hosts in [3, 7, 74, 380] {
+        let seeds = if hosts < 10 { 4 } else { 1 };
+        let (mut resumed, mut refused) = (0, 0);
+        for seed in 0..seeds {
+            let day = play(hosts, seed, false);
+            assert_eq!(day.2, 0, "{hosts} hosts, seed {seed}: {day:?}");
+            (resumed, refused) = (resumed + day.0, refused + day.1);
+        }
+        println!("{hosts} hosts: {resumed} resumed, {refused} refused");
+        assert!(resumed >= refused, "{hosts} hosts: {resumed} resumed, {refused} refused");
+    }
+}
+
+/// Guards against streams that go on at another version while the store is away.
+#[test]
+fn no_stream_is_joined_while_the_store_is_away() {
+    for seed in 0..10 {
+        let day = play(7, seed, true);
+        assert_eq!(day.2, 0, "seed {seed}: {day:?}");
+    }
+}
--- a/crates/tarragon_node/src/stream_origins.rs
+++ b/crates/tarragon_node/src/stream_origins.rs
@@ -11,8 +11,8 @@
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use rail_origin::{
-    OriginKnowledge, OriginTable, SeenVersions, SoftwarePin, StreamKey, StreamsByVersion,
-    rank_keepers,
+    OriginKnowledge, OriginSource, OriginTable, OriginUnknown, SeenVersions, SoftwarePin,
+    StreamKey, StreamsByVersion, rank_keepers,
 };
 use rail_peer::{PeerReply, PeerRequest, StreamOriginRequest, StreamStarts};
 use rail_route::{ServiceId, SoftwareVersion, Upstream};
@@ -21,7 +21,6 @@
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     rc::Rc,
-    sync::Arc,
     time::Duration,
 };
 use tokio::{sync::Notify, time::timeout};
@@ -152,55 +151,47 @@
         return Ok(());
     }
     let stream = request.parsed_headers.resumes.as_deref().map(StreamKey::of);
-    let (version, source) = find_origin(node, &request.service, stream).await;
+    let found = find_origin(node, &request.service, stream).await;
+    let source = found.as_ref().map_or("unknown", |(_, source)| source);
     node.metrics.stream_origins.count(source);
     request.origin_source.set(Some(source));
-    let version = version.map_err(|retry_after| {
-        NoOrigin::Unknown(retry_after.unwrap_or_else(|| request.time_left()))
+    let (version, _) = found.map_err(|reason| match reason {
+        OriginUnknown::SourceSilent => NoOrigin::Unknown(SILENT_SOURCE_RETRY_AFTER),
+        OriginUnknown::NotRecorded => NoOrigin::Unknown(request.time_left()),
     })?;
-    let serves = |upstream: &&Arc<Upstream>| upstream.software == version;
-    if !node.upstreams.borrow().ready(&request.service).any(|upstream| serves(&upstream)) {
+    let is_served = {
+        let upstreams = node.upstreams.borrow();
+        upstreams.ready(&request.service).any(|upstream| upstream.software == version)
+    };
+    if !is_served {
         return Err(NoOrigin::VersionGone);
     }
     *request.pin.borrow_mut() = SoftwarePin::Only(version);
     Ok(())
 }
 
-/// Returns the version at which a stream began and the source that knew it, or the time after which
-/// it may be known, if ever.
+/// Returns the version at which a stream began and the source that knew it.
 async fn find_origin(
     node: &SharedNode,
     service: &str,
     stream: Option<StreamKey>,
-) -> (Result<SoftwareVersion, Option<Duration>>, &'static str) {
+) -> Result<(SoftwareVersion, OriginSource), OriginUnknown> {
     let own = node.stream_origins.knowledge(service, stream, node.now());
     if let OriginKnowledge::Began(version) = own {
-        return (Ok(version), "local");
+        return Ok((version, "this_host"));
     }
     let Answers { knowledge, is_any_silent } = match stream {
         Some(stream) => ask_keepers(node, service, stream).await,
         None => Answers::default(),
     };
     let told = own.combine(knowledge);
-    match told {
-        OriginKnowledge::Began(version) => return (Ok(version), "keeper"),
-        OriginKnowledge::Only(version) => return (Ok(version), "only_version"),
-        OriginKnowledge::Unaware | OriginKnowledge::Unrecorded => {}
-    }
-    let Some(stored) = stored_origins::read(node, service, stream).await else {
-        return (Err(Some(SILENT_SOURCE_RETRY_AFTER)), "store_silent");
-    };
-    match told.combine(stored) {
-        OriginKnowledge::Began(version) => (Ok(version), "store"),
-        OriginKnowledge::Only(version) => (Ok(version), "only_version"),
-        OriginKnowledge::Unaware => match registered_version(node, service) {
-            Some(version) => (Ok(version), "registered"),
-            None => (Err(None), "unknown"),
-        },
-        OriginKnowledge::Unrecorded => {
-            (Err(is_any_silent.then_some(SILENT_SOURCE_RETRY_AFTER)), "unknown")
+    let stored = match told {
+        OriginKnowledge::Began(_) | OriginKnowledge::Only(_) => None,
+        OriginKnowledge::Unaware | OriginKnowledge::Unrecorded => {
+            stored_origins::read(node, service, stream).await
         }
-    }
+    };
+    rail_origin::decide(told, is_any_silent, stored, registered_version(node, service))
 }
 
 /// Returns the version of all registered upstreams of a service, if they have the same.
