--- a/crates/rail_route/src/lib.rs
+++ b/crates/rail_route/src/lib.rs
@@ -1,7 +1,8 @@
 //! Routes, registered upstreams, outlier detection and the retry budget.
 //!
 //! [`RouteTable`] is one accepted configuration: it maps a request to a [`Route`] and a service.
-//! [`UpstreamTable`] contains the registered upstreams, [`OutlierDetector`] ejects those that fail
+//! [`UpstreamTable`] contains the registered upstreams, [`UpstreamReach`] tells whether this host
+//! reaches any, [`OutlierDetector`] ejects those that fail
 //! too often, and [`RetryBudget`] limits retries over all hosts together. [`ObservedAdapters`]
 //! records which engines answered requests for which adapters. The caller passes in the current
 //! time; nothing here does I/O or reads a clock.
@@ -10,6 +11,7 @@
 pub mod choose;
 pub mod observed;
 pub mod outlier;
+pub mod reach;
 pub mod table;
 pub mod upstream;
 pub mod versions;
@@ -21,6 +23,7 @@
         choose::choose_instance,
         observed::ObservedAdapters,
         outlier::{AttemptOutcome, OutlierDetector},
+        reach::UpstreamReach,
         table::{
             BaseModel, EngineShape, Limits, Route, RouteKind, RouteTable, Service, ServiceId,
             ServiceShare,
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -24,6 +24,9 @@
 /// Share of the version rollout timeout during which the old version may still run requests.
 const OLD_VERSION_SHARE: f64 = 0.7;
 
+/// Reason of an attempt whose connection ended before a response.
+const CONNECTION_LOST: &str = "connection_lost";
+
 /// Result of an attempt, known from the response head.
 #[derive(Debug)]
 pub enum Attempt {
@@ -81,6 +84,9 @@
     if matches!(attempt, Attempt::NotRun(_) | Attempt::NotSent | Attempt::Withdrawn) {
         request.record_not_run();
     }
+    if matches!(attempt, Attempt::NotRun(_)) {
+        node.reach.borrow_mut().record_reached(node.now());
+    }
     if matches!(attempt, Attempt::Responded(_)) {
         request.software.borrow_mut().clone_from(&upstream.software);
     }
@@ -135,6 +141,19 @@
     reason: &str,
 ) {
     let now = node.now();
+    match outcome {
+        AttemptOutcome::Started | AttemptOutcome::Answered => {
+            node.reach.borrow_mut().record_reached(node.now());
+        }
+        AttemptOutcome::Unreachable => {
+            node.reach.borrow_mut().record_unreached(&upstream.id, now);
+        }
+        AttemptOutcome::Failed => {
+            if reason == CONNECTION_LOST {
+                node.reach.borrow_mut().record_unreached(&upstream.id, now);
+            }
+        }
+    }
     if node.outlier_detector.borrow_mut().record(&upstream.id, outcome, now) {
         node.metrics.ejections.count(reason);
         node.events.important(&Event::Ejected {
@@ -186,7 +205,7 @@
     let response = match sent {
         Ok(response) => response,
         Err(SendError::NotSent) => return Attempt::NotSent,
-        Err(SendError::Lost) => return Attempt::Lost("connection_lost"),
+        Err(SendError::Lost) => return Attempt::Lost(CONNECTION_LOST),
     };
     let response_headers = UpstreamResponseHeaders::read(&response.head);
     if let Some(load) = response_headers.load {
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -154,7 +154,7 @@
         last_body: Cell::new(None),
         node: Rc::clone(&node),
     };
-    node.record_request(&request.service);
+    request.record_arrival();
     drop(routes);
     if is_engine {
         engine_requests::serve(node, request, in_flight).await
--- a/crates/tarragon_node/src/engine_requests.rs
+++ b/crates/tarragon_node/src/engine_requests.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     attempt::{self, Attempt, AttemptOptions},
+    detour::{self, Detour},
     engine_grants::{self, Grant, NoGrant},
     lost_runs,
     node::SharedNode,
@@ -36,6 +37,9 @@
 ) -> Response<BoxBody> {
     let deadline = tokio::time::Instant::from_std(request.deadline_at);
     let mut retry_state = RetryState::default();
+    if request.parsed_headers.is_detour && node.is_cut_off() {
+        return fail_request(&node, &request, Failure::CutOff, Some(NO_OWNER_RETRY_AFTER), "");
+    }
     let result =
         tokio::time::timeout_at(deadline, dispatch(&node, &request, &mut retry_state)).await;
     let started_response = match result {
@@ -100,6 +104,7 @@
                     admission,
                     version,
                     upstream_response,
+                    is_detour: false,
                 });
             }
             Attempt::Responded(_failure) => return None,
@@ -133,6 +138,10 @@
     is_sent: bool,
     /// Whether an earlier attempt may have run.
     may_have_run: bool,
+    /// Attempts that did not reach their engine.
+    unsent_attempts: u32,
+    /// Whether other hosts were asked to serve the request.
+    is_detour_tried: bool,
     /// Consecutive refusals by the engine in `last_refused_by`.
     consecutive_refusals: u32,
     last_refused_by: String,
@@ -182,6 +191,8 @@
     pub version: Option<u64>,
     /// Response head, with the body still to be read.
     pub upstream_response: Box<UpstreamResponse>,
+    /// Whether another host served the request.
+    pub is_detour: bool,
 }
 
 /// Obtains a grant and sends the request, until an engine responds or the retries are exhausted.
@@ -194,6 +205,14 @@
         return Err(no_origin_response(node, request, reason));
     }
     for _ in 0..MAX_ATTEMPTS {
+        let is_detour_due = !retry_state.may_have_run
+            && !retry_state.is_detour_tried
+            && detour::is_due(node, request, retry_state.unsent_attempts);
+        if is_detour_due
+            && let Some(result) = send_through_other_host(node, request, retry_state).await
+        {
+            return result;
+        }
         let candidates = || engine_grants::candidates(node, request, &retry_state.excluded);
         let admission = match quarantine::admit(node, request, candidates).await {
             Ok(admission) => admission,
@@ -223,10 +242,12 @@
                     admission,
                     version,
                     upstream_response,
+                    is_detour: false,
                 });
             }
             Attempt::NotSent | Attempt::Withdrawn => {
                 retry_state.excluded.push(upstream.id.clone());
+                retry_state.unsent_attempts += 1;
                 "not_sent"
             }
             Attempt::OverLimit(_pause) => {
@@ -268,6 +289,29 @@
     Err(fail_request(node, request, Failure::Busy, Some(MIN_RETRY_AFTER), ""))
 }
 
+/// Passes a request on to another host. Returns `None` if no other host is live.
+async fn send_through_other_host(
+    node: &SharedNode,
+    request: &CallerRequest,
+    retry_state: &mut RetryState,
+) -> Option<Result<StartedResponse, Response<BoxBody>>> {
+    retry_state.is_detour_tried = true;
+    retry_state.current_upstream = None;
+    retry_state.is_sent = true;
+    match detour::send(node, request).await {
+        Detour::Answered(response) => Some(Ok(*response)),
+        Detour::Lost => Some(Err(fail_request(node, request, Failure::UpstreamLost, None, ""))),
+        Detour::AllCutOff => {
+            let retry_after = Some(NO_OWNER_RETRY_AFTER);
+            Some(Err(fail_request(node, request, Failure::CutOff, retry_after, "")))
+        }
+        Detour::NoHost => {
+            retry_state.is_sent = false;
+            None
+        }
+    }
+}
+
 fn no_origin_response(
     node: &SharedNode,
     request: &CallerRequest,
--- a/crates/tarragon_node/src/main.rs
+++ b/crates/tarragon_node/src/main.rs
@@ -8,6 +8,7 @@
 mod bad_records;
 mod caller_connection;
 mod caller_requests;
+mod detour;
 mod engine_grants;
 mod engine_requests;
 mod engines;
--- a/crates/tarragon_node/src/metrics.rs
+++ b/crates/tarragon_node/src/metrics.rs
@@ -25,6 +25,8 @@
     pub attempts: ReasonCounters,
     /// Permits for requests to upstreams that name a limit, by decision.
     pub send_permits: ReasonCounters,
+    /// Requests passed on to other hosts, by outcome.
+    pub detours: ReasonCounters,
     /// Streams that callers resumed, by the source that knew the software version.
     pub stream_origins: ReasonCounters,
     /// Bodies of upstreams' responses by framing, end and completeness.
@@ -116,6 +118,8 @@
                 "send_permits",
                 "Permits for requests to upstreams that name a limit, by decision",
             ),
+            detours: registry
+                .reason_counters("detours", "Requests passed on to other hosts, by outcome"),
             stream_origins: registry.reason_counters(
                 "stream_origins",
                 "Streams that callers resumed, by the source that knew their software version",
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -1,10 +1,10 @@
 //! State of the process, shared by all its tasks on a single thread.
 
 use crate::{
-    bad_records::BadRecords, engines::OwnedEngines, events::Events, metrics::NodeMetrics,
-    peers::Peers, quarantine::Quarantine, registry::Registry, send_permits::SendPermits,
-    store_health::StoreHealth, stream_origins::StreamOrigins, upstream_ends::UpstreamEnds,
-    upstream_loads::UpstreamLoads,
+    bad_records::BadRecords, detour::Detours, engines::OwnedEngines, events::Events,
+    metrics::NodeMetrics, peers::Peers, quarantine::Quarantine, registry::Registry,
+    send_permits::SendPermits, store_health::StoreHealth, stream_origins::StreamOrigins,
+    upstream_ends::UpstreamEnds, upstream_loads::UpstreamLoads,
 };
 use rail_lease::{ReturnGuard, host_lease::HostLease};
 use rail_member::{
@@ -16,7 +16,7 @@
 use rail_revision::{Era, Revision};
 use rail_route::{
     AdapterVersions, ObservedAdapters, OutlierDetector, RetryBudget, RouteTable, ServiceId,
-    Upstream, UpstreamId, UpstreamState, UpstreamTable,
+    Upstream, UpstreamId, UpstreamReach, UpstreamState, UpstreamTable,
 };
 use rail_runtime::{MonotonicClock, time_since_boot};
 use rail_site::{MetadataStore, NodeSettings, settings::Bounds};
@@ -108,6 +108,10 @@
     pub versions: RefCell<AdapterVersions>,
     /// Failure statistics that eject upstreams.
     pub outlier_detector: RefCell<OutlierDetector>,
+    /// Whether this host reaches upstreams.
+    pub reach: RefCell<UpstreamReach>,
+    /// Requests that go through other hosts.
+    pub detours: Detours,
     /// Adapters that engines served through this host.
     pub observed_adapters: RefCell<ObservedAdapters>,
     /// Number of engines over which this host spreads each adapter.
@@ -250,6 +254,11 @@
         })
     }
 
+    /// Returns whether this host presumes that it reaches no upstream.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach.borrow().is_cut_off(self.now())
+    }
+
     /// Uses one retry of a service's budget; returns whether the budget allowed it.
     pub fn try_retry(&self, service: &str) -> bool {
         let now = self.now();
--- a/crates/tarragon_node/src/peer_calls.rs
+++ b/crates/tarragon_node/src/peer_calls.rs
@@ -100,7 +100,9 @@
     call: GrantRequest,
     mut replies: ReplySender,
 ) {
-    let mut grant = match node.engines.request_grant(&node, &call) {
+    // Without a path to the engine this host can't order what the request needs.
+    let decision = if node.is_cut_off() { None } else { node.engines.request_grant(&node, &call) };
+    let mut grant = match decision {
         None => return send_final_reply(replies, GrantReply::NotOwner).await,
         Some(Err(retry_after)) => {
             let retry_after_ms = retry_after.as_millis() as u32;
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -249,7 +249,7 @@
     in_flight: InFlight,
     started_response: StartedResponse,
 ) -> Response<BoxBody> {
-    let StartedResponse { upstream, grant, admission, version, upstream_response } =
+    let StartedResponse { upstream, grant, admission, version, upstream_response, is_detour } =
         started_response;
     let mut response = reply::start_response(&upstream_response.head, node.is_stopping.get());
     let is_event_stream = is_event_stream(&request, &upstream_response);
@@ -257,7 +257,8 @@
         request.is_http10 || upstream_response.framing() == Framing::UntilClose;
     let connection_end = request.connection_end.clone();
     let relay = Relay {
-        event_splitter: is_event_stream.then(EventSplitter::default),
+        // The other host passes whole events only, and resumes the stream itself.
+        event_splitter: (is_event_stream && !is_detour).then(EventSplitter::default),
         is_resumable: request.is_resumable(),
         ends_with_connection,
         body_bytes: 0,
--- a/crates/tarragon_node/src/reply.rs
+++ b/crates/tarragon_node/src/reply.rs
@@ -7,7 +7,7 @@
 };
 use bytes::Bytes;
 use futures_util::{StreamExt, stream};
-use rail_site::headers::caller_response_headers;
+use rail_site::headers::{CUT_OFF, caller_response_headers};
 use std::{convert::Infallible, task::Poll, time::Duration};
 
 /// Lower bound of every `retry-after` header.
@@ -36,6 +36,8 @@
     Busy,
     /// No upstream of the service is usable.
     NoUpstream,
+    /// Neither this host nor another one reaches an upstream.
+    CutOff,
     /// The caller resumes a stream, and nobody knows which software version began it.
     OriginUnknown,
     /// The caller resumes a stream of a software version that no upstream runs any more.
@@ -62,6 +64,7 @@
             Self::LateSent => "late_sent",
             Self::Busy => "busy",
             Self::NoUpstream => "no_upstream",
+            Self::CutOff => "cut_off",
             Self::OriginUnknown => "origin_unknown",
             Self::VersionGone => "version_gone",
             Self::UpstreamLost => "upstream_lost",
@@ -79,6 +82,7 @@
             | Self::Busy
             | Self::NoUpstream
             | Self::LateUnsent
+            | Self::CutOff
             | Self::OriginUnknown
             | Self::VersionGone
             | Self::Quarantined
@@ -104,6 +108,9 @@
         let time = time.max(MIN_RETRY_AFTER);
         response.insert_header(("retry-after", format!("{:.3}", time.as_secs_f64())));
     }
+    if matches!(failure, Failure::CutOff | Failure::Stopping) {
+        response.insert_header((CUT_OFF, "1"));
+    }
     let failure_closes_connection =
         matches!(failure, Failure::BadRequest | Failure::TooLarge | Failure::SlowBody);
     if closes_connection || failure_closes_connection {
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -145,6 +145,14 @@
         completeness
     }
 
+    /// Counts the request towards the retry budget of its service, unless the host that passes it on
+    /// has done so.
+    pub fn record_arrival(&self) {
+        if !self.parsed_headers.is_detour {
+            self.node.record_request(&self.service);
+        }
+    }
+
     /// Counts an attempt, and records how long the request waited for the first one.
     pub fn record_attempt(&self) {
         if self.attempts.get() == 0 {
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -3,6 +3,7 @@
 use crate::{
     bad_records::BadRecords,
     caller_requests,
+    detour::{self, Detours},
     engines::OwnedEngines,
     entry,
     error::Result,
@@ -91,6 +92,7 @@
     lease::spawn(&node);
     quarantine_news::spawn(&node);
     stream_origins::spawn(&node);
+    detour::spawn(&node);
     OwnedEngines::spawn(&node);
     actix_rt::spawn(join_fleet(Rc::clone(&node)));
     actix_rt::spawn(prune(Rc::clone(&node)));
@@ -126,6 +128,8 @@
         upstreams: RefCell::default(),
         versions: RefCell::default(),
         outlier_detector: RefCell::default(),
+        reach: RefCell::default(),
+        detours: Detours::default(),
         observed_adapters: RefCell::default(),
         replica_spread: RefCell::default(),
         retry_budgets: RefCell::default(),
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -2,9 +2,12 @@
 
 use crate::{
     attempt::{self, Attempt, AttemptOptions},
+    detour::{self, Detour},
+    engine_requests::StartedResponse,
     lost_runs,
-    node::SharedNode,
+    node::{Node, SharedNode},
     quarantine::{self, Admission, KeyTrial},
+    relay,
     reply::{self, Failure},
     request::{
         CallerRequest, InFlight, RequestEnd, fail_request, quarantine_response, record_request_end,
@@ -37,14 +40,18 @@
     request: CallerRequest,
     in_flight: InFlight,
 ) -> Response<BoxBody> {
-    let _in_flight = in_flight;
+    if request.parsed_headers.is_detour && node.is_cut_off() {
+        return fail_request(&node, &request, Failure::CutOff, Some(NO_UPSTREAM_RETRY_AFTER), "");
+    }
     let mut retry_state = RetryState::default();
     let deadline = tokio::time::Instant::from_std(request.deadline_at);
-    let result =
-        tokio::time::timeout_at(deadline, send_with_retries(&node, &request, &mut retry_state))
-            .await;
-    if let Ok(response) = result {
-        return response;
+    let result = tokio::time::timeout_at(deadline, answer(&node, &request, &mut retry_state)).await;
+    match result {
+        Ok(Ok(started_response)) => {
+            return relay::respond(node, request, in_flight, started_response);
+        }
+        Ok(Err(response)) => return response,
+        Err(_elapsed) => {}
     }
     let failure = if retry_state.may_have_run { Failure::LateSent } else { Failure::LateUnsent };
     let retry_after = (!retry_state.may_have_run).then_some(BUSY_RETRY_AFTER);
@@ -58,6 +65,23 @@
     fail_request(&node, &request, failure, retry_after, upstream)
 }
 
+/// Answers a request with the response of an instance, which is complete, or of another host, which
+/// is still to be read.
+async fn answer(
+    node: &SharedNode,
+    request: &CallerRequest,
+    retry_state: &mut RetryState,
+) -> Result<StartedResponse, Response<BoxBody>> {
+    loop {
+        if let Some(response) = send_with_retries(node, request, retry_state).await {
+            return Err(response);
+        }
+        if let Some(result) = send_through_other_host(node, request, retry_state).await {
+            return result;
+        }
+    }
+}
+
 /// Progress of one request over its attempts.
 #[derive(Debug, Default)]
 struct RetryState {
@@ -70,31 +94,31 @@
     attempts_sent: u32,
     unsent_attempts: u32,
     may_have_run: bool,
+    /// Whether other hosts were asked to serve the request.
+    is_detour_tried: bool,
 }
 
 /// Sends the request to one instance after another, within the limits of its route and the retry
-/// budget.
+/// budget. Returns `None` if the request has not run and goes through another host.
 async fn send_with_retries(
     node: &SharedNode,
     request: &CallerRequest,
     retry_state: &mut RetryState,
-) -> Response<BoxBody> {
+) -> Option<Response<BoxBody>> {
     loop {
+        if is_detour_due(node, request, retry_state) {
+            return None;
+        }
         let candidates = || candidates(node, request, &retry_state.tried_upstreams);
         let admission = match quarantine::admit(node, request, candidates).await {
             Ok(admission) => admission,
             Err(refusal) => {
-                return quarantine_response(node, request, refusal, retry_state.may_have_run);
+                return Some(quarantine_response(node, request, refusal, retry_state.may_have_run));
             }
         };
         let chosen = choose_upstream(node, request, retry_state, &admission);
         let Some(upstream) = chosen else {
-            let (failure, retry_after) = match send_permits::shortest_pause(node, &request.service)
-            {
-                Some(pause) => (Failure::Busy, pause.max(BUSY_RETRY_AFTER)),
-                None => (Failure::NoUpstream, NO_UPSTREAM_RETRY_AFTER),
-            };
-            return fail_request(node, request, failure, Some(retry_after), "");
+            return Some(no_upstream_response(node, request));
         };
         let _load = node.upstream_loads.track(&upstream.id);
         retry_state.current_upstream = Some(Arc::clone(&upstream));
@@ -108,24 +132,24 @@
                 match buffer_response(node, request, &upstream, *response).await {
                     Ok(buffered) if !should_retry_failure(request, retry_state, &buffered) => {
                         buffered.record_end(node, request, &upstream, admission);
-                        return buffered.into_response(node, request, &upstream);
+                        return Some(buffered.into_response(node, request, &upstream));
                     }
                     Ok(buffered) => {
                         if !node.try_retry(&request.service) {
-                            return buffered.into_response(node, request, &upstream);
+                            return Some(buffered.into_response(node, request, &upstream));
                         }
                         "upstream_failed"
                     }
                     Err(reason) => {
                         lost_runs::record_loss(node, request, &upstream, admission, reason).await;
                         if !may_retry_lost(node, request, retry_state) {
-                            return fail_request(
+                            return Some(fail_request(
                                 node,
                                 request,
                                 Failure::UpstreamLost,
                                 None,
                                 &upstream.id,
-                            );
+                            ));
                         }
                         reason
                     }
@@ -134,7 +158,13 @@
             Attempt::Lost(reason) => {
                 lost_runs::record_loss(node, request, &upstream, admission, reason).await;
                 if !may_retry_lost(node, request, retry_state) {
-                    return fail_request(node, request, Failure::UpstreamLost, None, &upstream.id);
+                    return Some(fail_request(
+                        node,
+                        request,
+                        Failure::UpstreamLost,
+                        None,
+                        &upstream.id,
+                    ));
                 }
                 reason
             }
@@ -147,13 +177,7 @@
                 retry_state.may_have_run = may_have_run_before;
                 retry_state.unsent_attempts += 1;
                 if retry_state.unsent_attempts >= MAX_UNSENT_ATTEMPTS {
-                    let failure = if may_have_run_before {
-                        Failure::UpstreamLost
-                    } else {
-                        Failure::NoUpstream
-                    };
-                    let retry_after = (!may_have_run_before).then_some(NO_UPSTREAM_RETRY_AFTER);
-                    return fail_request(node, request, failure, retry_after, &upstream.id);
+                    return Some(unsent_response(node, request, &upstream, may_have_run_before));
                 }
                 retry_state.tried_upstreams.push(upstream.id.clone());
                 node.metrics.retries.count("not_sent");
@@ -168,7 +192,7 @@
                     let failure =
                         if may_have_run_before { Failure::UpstreamLost } else { Failure::Busy };
                     let retry_after = (!may_have_run_before).then_some(BUSY_RETRY_AFTER);
-                    return fail_request(node, request, failure, retry_after, &upstream.id);
+                    return Some(fail_request(node, request, failure, retry_after, &upstream.id));
                 }
                 "not_run"
             }
@@ -179,6 +203,57 @@
     }
 }
 
+/// Ends a request for which no instance is left.
+fn no_upstream_response(node: &SharedNode, request: &CallerRequest) -> Response<BoxBody> {
+    let (failure, retry_after) = match send_permits::shortest_pause(node, &request.service) {
+        Some(pause) => (Failure::Busy, pause.max(BUSY_RETRY_AFTER)),
+        None => (Failure::NoUpstream, NO_UPSTREAM_RETRY_AFTER),
+    };
+    fail_request(node, request, failure, Some(retry_after), "")
+}
+
+/// Ends a request whose last attempts did not reach their instances.
+fn unsent_response(
+    node: &SharedNode,
+    request: &CallerRequest,
+    upstream: &Upstream,
+    may_have_run: bool,
+) -> Response<BoxBody> {
+    let failure = if may_have_run { Failure::UpstreamLost } else { Failure::NoUpstream };
+    let retry_after = (!may_have_run).then_some(NO_UPSTREAM_RETRY_AFTER);
+    fail_request(node, request, failure, retry_after, &upstream.id)
+}
+
+/// Returns whether the request, which has not run, goes through another host.
+fn is_detour_due(node: &Node, request: &CallerRequest, retry_state: &RetryState) -> bool {
+    !retry_state.is_detour_tried
+        && !retry_state.may_have_run
+        && detour::is_due(node, request, retry_state.unsent_attempts)
+}
+
+/// Passes a request on to another host. Returns `None` if no other host is live.
+async fn send_through_other_host(
+    node: &SharedNode,
+    request: &CallerRequest,
+    retry_state: &mut RetryState,
+) -> Option<Result<StartedResponse, Response<BoxBody>>> {
+    retry_state.is_detour_tried = true;
+    retry_state.current_upstream = None;
+    retry_state.may_have_run = true;
+    match detour::send(node, request).await {
+        Detour::Answered(response) => Some(Ok(*response)),
+        Detour::Lost => Some(Err(fail_request(node, request, Failure::UpstreamLost, None, ""))),
+        Detour::AllCutOff => {
+            let retry_after = Some(NO_UPSTREAM_RETRY_AFTER);
+            Some(Err(fail_request(node, request, Failure::CutOff, retry_after, "")))
+        }
+        Detour::NoHost => {
+            retry_state.may_have_run = false;
+            None
+        }
+    }
+}
+
 /// Returns whether a server error of an upstream should be retried.
 fn should_retry_failure(
     request: &CallerRequest,
--- a/crates/tarragon_node/src/upstream_ends.rs
+++ b/crates/tarragon_node/src/upstream_ends.rs
@@ -261,7 +261,10 @@
     }
     let deadline = Instant::now() + PROBE_TIMEOUT;
     match timeout_at(deadline, TcpStream::connect(upstream.address)).await {
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => return Probe::Refused,
+        // A host that reaches no upstream learns nothing about any of them.
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused && !node.is_cut_off() => {
+            return Probe::Refused;
+        }
         Ok(Err(_)) | Err(_) => return Probe::Silent,
         Ok(Ok(_connected)) => {}
     }
