--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -91,9 +91,6 @@
     let Some(routes) = node.routes.borrow().clone() else {
         return refuse(Failure::NoConfig, Some(NO_CONFIG_RETRY_AFTER));
     };
-    if node.is_refusing_requests.get() {
-        return refuse(Failure::Stopping, Some(STOPPING_RETRY_AFTER));
-    }
     let Some(host) = host_name(headers).map(str::to_owned) else {
         return refuse(Failure::BadRequest, None);
     };
@@ -107,6 +104,9 @@
     };
     let timeout =
         parsed_headers.timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
+    if node.refuses_requests_until(arrived_at + timeout) {
+        return refuse(Failure::Stopping, Some(STOPPING_RETRY_AFTER));
+    }
     let forwarded_headers =
         headers.iter().map(|(name, value)| (name.to_string(), value.as_bytes().to_vec()));
     let forwarded_headers = forwarded_headers.collect();
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -27,7 +27,7 @@
     collections::HashMap,
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::sync::Notify;
 
@@ -142,6 +142,8 @@
     pub in_flight: Cell<u32>,
     /// Whether graceful shutdown has begun.
     pub is_stopping: Cell<bool>,
+    /// Time at which a stopping process ends; `None` before the stop.
+    pub stops_at: Cell<Option<Instant>>,
     /// Whether new requests are refused, since they might not finish before the process exits.
     pub is_refusing_requests: Cell<bool>,
     /// Notified when the ages of records are confirmed anew.
@@ -259,6 +261,13 @@
         self.reach.borrow().is_cut_off(self.now())
     }
 
+    /// Returns whether a request with this deadline is refused, since it might not finish before the
+    /// process ends.
+    pub fn refuses_requests_until(&self, deadline: Instant) -> bool {
+        let outlasts_process = self.stops_at.get().is_some_and(|stops_at| deadline > stops_at);
+        self.is_refusing_requests.get() || outlasts_process
+    }
+
     /// Uses one retry of a service's budget; returns whether the budget allowed it.
     pub fn try_retry(&self, service: &str) -> bool {
         let now = self.now();
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -31,7 +31,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
     signal::unix::{SignalKind, signal},
@@ -145,6 +145,7 @@
         engines: OwnedEngines::default(),
         in_flight: Cell::new(0),
         is_stopping: Cell::new(false),
+        stops_at: Cell::new(None),
         is_refusing_requests: Cell::new(false),
         records_confirmed: Notify::new(),
         records_changed: Notify::new(),
@@ -245,7 +246,9 @@
     node.events.flush();
     let announcing_node = Rc::clone(node);
     actix_rt::spawn(async move { peers::announce_own_state(&announcing_node).await });
-    let stop_deadline = started_at + node.bounds().shutdown_grace.saturating_sub(STOP_TIME_RESERVE);
+    let stop_time = node.bounds().shutdown_grace.saturating_sub(STOP_TIME_RESERVE);
+    node.stops_at.set(Some(Instant::now() + stop_time));
+    let stop_deadline = started_at + stop_time;
     loop {
         tokio::time::sleep(STOP_CHECK_INTERVAL).await;
         let now = node.now();
