A stopping host answers the requests that are left at the end of its grace (LOST in a planned stop)

Callers whose requests had been taken before a SIGTERM and outlasted the grace got a closed connection and no answer. Cause: run::shut_down let the process end with them. At the end of the grace every request that waits is ended as at its deadline: 504 if it may have run, 503 if not; 0.1 s of the reserve is left to write that. Streams that have begun still break off.

--- a/crates/tarragon_node/src/engine_requests.rs
+++ b/crates/tarragon_node/src/engine_requests.rs
@@ -35,17 +35,15 @@
     request: CallerRequest,
     in_flight: InFlight,
 ) -> Response<BoxBody> {
-    let deadline = tokio::time::Instant::from_std(request.deadline_at);
     let mut retry_state = RetryState::default();
     if request.parsed_headers.is_detour && node.is_cut_off() {
         return fail_request(&node, &request, Failure::CutOff, Some(NO_OWNER_RETRY_AFTER), "");
     }
-    let result =
-        tokio::time::timeout_at(deadline, dispatch(&node, &request, &mut retry_state)).await;
+    let result = request.within_time(dispatch(&node, &request, &mut retry_state)).await;
     let started_response = match result {
-        Ok(Ok(started_response)) => started_response,
-        Ok(Err(response)) => return response,
-        Err(_) => {
+        Some(Ok(started_response)) => started_response,
+        Some(Err(response)) => return response,
+        None => {
             let failure = if retry_state.is_sent { Failure::LateSent } else { Failure::LateUnsent };
             let retry_after = (!retry_state.is_sent).then_some(MIN_RETRY_AFTER);
             if let (true, Some(upstream)) = (retry_state.is_sent, &retry_state.current_upstream) {
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -144,6 +144,8 @@
     pub is_stopping: Cell<bool>,
     /// Time at which a stopping process ends; `None` before the stop.
     pub stops_at: Cell<Option<Instant>>,
+    /// Notified when a stopping process ends the requests that are left.
+    pub ends_requests: Notify,
     /// Whether new requests are refused, since they might not finish before the process exits.
     pub is_refusing_requests: Cell<bool>,
     /// Notified when the ages of records are confirmed anew.
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -102,6 +102,17 @@
         self.deadline_at.saturating_duration_since(Instant::now())
     }
 
+    /// Runs a future until the deadline, or until a stopping process ends its requests; `None` if it
+    /// has not ended by then.
+    pub async fn within_time<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let deadline = tokio::time::Instant::from_std(self.deadline_at);
+        tokio::select! {
+            biased;
+            result = tokio::time::timeout_at(deadline, future) => result.ok(),
+            () = self.node.ends_requests.notified() => None,
+        }
+    }
+
     /// Returns the model, with its adapter if any, as named by the caller; empty if not named.
     pub fn model(&self) -> &str {
         self.parsed_headers.model.as_deref().unwrap_or_default()
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -56,6 +56,8 @@
 /// Time before the end of the shutdown grace period at which the process stops waiting for
 /// requests, so that it exits in time.
 const STOP_TIME_RESERVE: Duration = Duration::from_millis(400);
+/// Time in which the answers to requests that are left at the end of a stop are written.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(100);
 /// Interval at which a stopping host checks whether its requests have finished.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -146,6 +148,7 @@
         in_flight: Cell::new(0),
         is_stopping: Cell::new(false),
         stops_at: Cell::new(None),
+        ends_requests: Notify::new(),
         is_refusing_requests: Cell::new(false),
         records_confirmed: Notify::new(),
         records_changed: Notify::new(),
@@ -260,6 +263,9 @@
             break;
         }
     }
+    // What is left gets its answer.
+    node.ends_requests.notify_waiters();
+    tokio::time::sleep(LAST_ANSWERS_TIME).await;
     node.events.important(&Event::Stopped { in_flight: node.in_flight.get() });
     node.events.flush();
 }
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -44,14 +44,12 @@
         return fail_request(&node, &request, Failure::CutOff, Some(NO_UPSTREAM_RETRY_AFTER), "");
     }
     let mut retry_state = RetryState::default();
-    let deadline = tokio::time::Instant::from_std(request.deadline_at);
-    let result = tokio::time::timeout_at(deadline, answer(&node, &request, &mut retry_state)).await;
-    match result {
-        Ok(Ok(started_response)) => {
+    match request.within_time(answer(&node, &request, &mut retry_state)).await {
+        Some(Ok(started_response)) => {
             return relay::respond(node, request, in_flight, started_response);
         }
-        Ok(Err(response)) => return response,
-        Err(_elapsed) => {}
+        Some(Err(response)) => return response,
+        None => {}
     }
     let failure = if retry_state.may_have_run { Failure::LateSent } else { Failure::LateUnsent };
     let retry_after = (!retry_state.may_have_run).then_some(BUSY_RETRY_AFTER);
