A brittle server that turns a request away is left alone by each host for a while (LIMIT)

A server that says that it is brittle falls over when it has to turn too many requests away in a second, and its load then falls on the next one. Cause: hosts went on to ask a server that refuses, and nothing read Server-Brittle.

--- a/crates/rail_limit/src/lib.rs
+++ b/crates/rail_limit/src/lib.rs
@@ -4,9 +4,12 @@
 //! together. [`KnownLimits`] is what one host knows of such limits. While an upstream names one,
 //! every request to it needs a permit. One host at a time issues the permits of an upstream, with
 //! [`PermitIssuer`]; [`rank_issuers`] names that host, and the next one, which stands in for it.
+//!
+//! An upstream that turns a request away may want to be left alone: [`Refusal`] says for how long.
 
 pub mod issuer;
 pub mod known;
+pub mod pause;
 pub mod rate;
 
 /// Commonly used items.
@@ -14,6 +17,7 @@
     pub use crate::{
         issuer::{IssuerRank, IssuingShare, Permit, PermitIssuer, rank_issuers},
         known::{KnownLimits, Limit, LimitKey},
+        pause::{Refusal, UpstreamPauses},
         rate::{LimitStatement, RequestRate},
     };
 }
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -226,6 +226,9 @@
     }
     if response_headers.is_not_run {
         let status = response.head.status;
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            send_permits::record_refusal(node, upstream, response_headers.refusal);
+        }
         request.refused_by.borrow_mut().push(upstream.id.clone());
         discard_refusal_body(response);
         return Attempt::NotRun(status);
--- a/crates/tarragon_node/src/send_permits.rs
+++ b/crates/tarragon_node/src/send_permits.rs
@@ -11,7 +11,7 @@
 };
 use rail_limit::{
     IssuerRank, IssuingShare, KnownLimits, Limit, LimitKey, LimitStatement, Permit, PermitIssuer,
-    RequestRate, rank_issuers,
+    Refusal, RequestRate, UpstreamPauses, rank_issuers,
 };
 use rail_peer::{LimitNews, PeerReply, PeerRequest, SendPermitReply, SendPermitRequest};
 use rail_route::Upstream;
@@ -32,6 +32,8 @@
     issuer: RefCell<PermitIssuer>,
     /// Time before which no permit of an upstream is requested, after one was refused.
     paused_until: RefCell<HashMap<LimitKey, Duration>>,
+    /// Upstreams that have turned a request away and get none for some time.
+    refused: RefCell<UpstreamPauses>,
 }
 
 /// A host that issues permits.
@@ -47,12 +49,17 @@
         Some((limit.rate?, now.saturating_sub(limit.answered_at)))
     }
 
-    /// Returns the time until a permit of an upstream may be requested; `None` if that is now, or if
-    /// no permit is needed.
+    /// Returns the time until a request may be sent to an upstream or a permit for it requested; `None`
+    /// if that is now.
     pub fn pause(&self, upstream: &Upstream, now: Duration) -> Option<Duration> {
         let start = key_of(upstream);
-        self.known.borrow().rate(&start)?;
-        let until = self.paused_until.borrow().get(&start).copied()?;
+        let refused = self.refused.borrow().remaining(&start, now);
+        refused.max(self.permit_pause(&start, now))
+    }
+
+    fn permit_pause(&self, start: &LimitKey, now: Duration) -> Option<Duration> {
+        self.known.borrow().rate(start)?;
+        let until = self.paused_until.borrow().get(start).copied()?;
         Some(until.saturating_sub(now)).filter(|pause| !pause.is_zero())
     }
 
@@ -85,13 +92,13 @@
     let (start, now) = (key_of(upstream), node.now());
     let permits = &node.send_permits;
     request.limit.set(permits.limit(&start, now));
-    if request.limit.get().is_none() {
-        return Ok(());
-    }
     if let Some(pause) = permits.pause(upstream, now) {
         node.metrics.send_permits.count("paused");
         return Err(pause);
     }
+    if request.limit.get().is_none() {
+        return Ok(());
+    }
     let is_urgent = request.route.priority == URGENT_PRIORITY;
     let question = SendPermitRequest {
         upstream: start.upstream.clone(),
@@ -111,6 +118,15 @@
     Err(pause)
 }
 
+/// Records that an upstream has turned a request away for want of room.
+pub fn record_refusal(node: &Node, upstream: &Upstream, refusal: Refusal) {
+    let (now, live_hosts) = (node.now(), node.hosts.borrow().live(node.now()).count());
+    if let Some(pause) = refusal.pause(live_hosts) {
+        node.metrics.send_permits.count("upstream_refused");
+        node.send_permits.refused.borrow_mut().pause_until(key_of(upstream), now + pause);
+    }
+}
+
 /// Asks the issuers of an upstream's permits, one after the other. Returns `None` if none replied.
 async fn ask_issuers(node: &SharedNode, question: SendPermitRequest) -> Option<Permit> {
     for issuer in issuers(node, &question.upstream) {
@@ -240,6 +256,7 @@
         known.is_some_and(|known| known.started_unix_ms == start.started_unix_ms)
     };
     node.send_permits.known.borrow_mut().prune(is_known, now);
+    node.send_permits.refused.borrow_mut().prune(now);
     node.send_permits.issuer.borrow_mut().prune(now);
     node.send_permits.paused_until.borrow_mut().retain(|_, until| now < *until);
 }
