--- a/crates/rail_limit/tests/statements.rs
+++ b/crates/rail_limit/tests/statements.rs
@@ -71,3 +71,22 @@
         }
     }
 }
+
+/// Guards against servers that are asked too early, and against a pause without end.
+#[test]
+fn a_refusal_says_for_how_long_an_upstream_pauses() {
+    use rail_limit::Refusal;
+    use std::time::Duration;
+    let pause_ms = |retry_after_ms: Option<u64>, max_refusals_per_s, live_hosts| {
+        let retry_after = retry_after_ms.map(Duration::from_millis);
+        let pause = Refusal { retry_after, max_refusals_per_s }.pause(live_hosts);
+        pause.map(|pause| pause.as_millis())
+    };
+    assert_eq!(pause_ms(None, None, 7), None);
+    assert_eq!(pause_ms(Some(2500), None, 7), Some(2500));
+    assert_eq!(pause_ms(Some(9_000_000), None, 7), Some(60_000));
+    assert_eq!(pause_ms(None, Some(7), 7), Some(2000), "all hosts cause half of the refusals");
+    assert_eq!(pause_ms(None, Some(1000), 3), Some(300));
+    assert_eq!(pause_ms(None, Some(0), 380), Some(10_000));
+    assert_eq!(pause_ms(Some(3000), Some(7), 7), Some(3000), "the longer of both");
+}
