A server that says in its answers that it leaves gets no more requests (DRAIN)

Servers that leave may say so in their answers while their record still reads ready. Cause: nothing read Server-Leaving, so hosts went on until the record changed. The answer drains that start of the upstream at this host, whatever its record says; the record of a later start is judged anew.

--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -1,8 +1,8 @@
 //! One attempt: sends a request to one upstream and classifies the response head.
 
 use crate::{
-    events::Event, lost_runs, node::SharedNode, quarantine::Admission, request::CallerRequest,
-    send_permits, upstream_ends,
+    events::Event, lost_runs, node::SharedNode, quarantine::Admission, registry,
+    request::CallerRequest, send_permits, upstream_ends,
 };
 use http::{Request, StatusCode, header::CONTENT_ENCODING};
 use http_body_util::Full;
@@ -218,7 +218,7 @@
     if is_other_request {
         return Attempt::Lost("other_answer");
     }
-    record_limit(node, upstream, &response_headers, response.head.status);
+    record_statements(node, upstream, &response_headers, response.head.status);
     // A refusal that names no request may be an earlier one, written again.
     let names_request = response_headers.request_id.is_some();
     if response_headers.is_not_run && !names_request && !response.is_first_on_connection() {
@@ -241,9 +241,8 @@
     Attempt::Responded(Box::new(response))
 }
 
-/// Records the limit that a response names. One that may come from another server than the one
-/// asked doesn't show that the limit has ended.
-fn record_limit(
+/// Records what a response says of its upstream, unless it may come from another one than was asked.
+fn record_statements(
     node: &SharedNode,
     upstream: &Upstream,
     headers: &UpstreamResponseHeaders,
@@ -252,6 +251,9 @@
     let is_own = headers.is_signed || headers.request_id.is_some();
     if is_own && status != StatusCode::MISDIRECTED_REQUEST {
         send_permits::record_answer(node, upstream, headers.limit);
+        if headers.is_leaving {
+            registry::record_leaving(node, upstream);
+        }
     }
 }
 
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -62,6 +62,8 @@
     /// Starts of upstreams that drain or have drained: id, start time and era of that state. An
     /// older copy of the store may list them as ready.
     drained: RefCell<BTreeMap<(String, u64), Era>>,
+    /// Starts of upstreams that say in their answers that they leave, whatever their records say.
+    leaving: RefCell<BTreeSet<(String, Option<u64>)>>,
 }
 
 impl Registry {
@@ -104,9 +106,12 @@
         items
     }
 
-    /// Returns the state of an upstream: one that has drained in an earlier era does not return to
-    /// work because an older copy of the store lists it so.
+    /// Returns the state of an upstream: one that says that it leaves, or has drained in an earlier era,
+    /// does not return to work because its record, or an older copy of the store, lists it so.
     fn lasting_state(&self, upstream: &Upstream, era: Era) -> UpstreamState {
+        if self.leaving.borrow().contains(&(upstream.id.clone(), upstream.started_unix_ms)) {
+            return UpstreamState::Draining;
+        }
         let Some(started) = upstream.started_unix_ms else { return upstream.state };
         let mut drained = self.drained.borrow_mut();
         let start = (upstream.id.clone(), started);
@@ -429,6 +434,32 @@
     *node.routes.borrow_mut() = Some(Arc::new(table));
 }
 
+/// Records that an upstream says in an answer that it leaves: from now on it gets no requests from
+/// this host.
+pub fn record_leaving(node: &SharedNode, upstream: &Upstream) {
+    let mut leaving = node.registry.leaving.borrow_mut();
+    if !leaving.insert((upstream.id.clone(), upstream.started_unix_ms)) {
+        return;
+    }
+    if leaving.len() > MAX_DRAINED_UPSTREAMS {
+        leaving.pop_first();
+    }
+    let mut upstreams = node.upstreams.borrow_mut();
+    let Some(known) = upstreams.find(&upstream.id) else { return };
+    if known.started_unix_ms == upstream.started_unix_ms {
+        let left = Upstream { state: UpstreamState::Draining, ..known.as_ref().clone() };
+        let revision = node.registry.revision(RecordKind::Upstreams);
+        node.events.important(&Event::Upstream {
+            upstream: &left.id,
+            service: &left.service,
+            state: "says_that_it_leaves",
+            revision,
+        });
+        upstreams.insert(left);
+        node.records_changed.notify_waiters();
+    }
+}
+
 fn apply_upstream(
     node: &SharedNode,
     name: &str,
