Split drained upstreams from the registry; one function answers through another host

The two paths of requests shared how a detour ends; detour::answer does that. No behaviour changes but the retry-after of a refusal while no host reaches an upstream, 0.3 s on both paths (0.25 s for plain services before).

--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: sends a request to one upstream and classifies the response head.
 
 use crate::{
-    events::Event, lost_runs, node::SharedNode, quarantine::Admission, registry,
+    drained_upstreams, events::Event, lost_runs, node::SharedNode, quarantine::Admission,
     request::CallerRequest, send_permits, upstream_ends,
 };
 use http::{Request, StatusCode, header::CONTENT_ENCODING};
@@ -252,7 +252,7 @@
     if is_own && status != StatusCode::MISDIRECTED_REQUEST {
         send_permits::record_answer(node, upstream, headers.limit);
         if headers.is_leaving {
-            registry::record_leaving(node, upstream);
+            drained_upstreams::record_leaving(node, upstream);
         }
     }
 }
--- a/crates/tarragon_node/src/detour.rs
+++ b/crates/tarragon_node/src/detour.rs
@@ -9,8 +9,10 @@
     engine_requests::StartedResponse,
     node::{Node, SharedNode},
     quarantine::Admission,
-    request::CallerRequest,
+    reply::Failure,
+    request::{CallerRequest, fail_request},
 };
+use actix_http::{Response, body::BoxBody};
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
@@ -34,6 +36,8 @@
 const CUT_OFF_PAUSE: Duration = Duration::from_secs(1);
 /// Longest idle time of a connection to another host that is used again.
 const MAX_IDLE: Duration = Duration::from_secs(4);
+/// `retry-after` for callers while no host reaches an upstream.
+const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Interval at which a host that reaches no upstream tries again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Upstreams that are tried at once.
@@ -48,7 +52,7 @@
 }
 
 /// How a request that was passed to other hosts ended.
-pub enum Detour {
+enum Detour {
     /// A host answered.
     Answered(Box<StartedResponse>),
     /// A host received the request and did not answer; it may have run.
@@ -67,8 +71,27 @@
         && (node.is_cut_off() || unsent_attempts >= MAX_UNSENT_ATTEMPTS)
 }
 
+/// Answers a request through another host, or refuses it if the others reach no upstream either.
+/// Returns `None` if no other host is live.
+pub async fn answer(
+    node: &SharedNode,
+    request: &CallerRequest,
+) -> Option<Result<StartedResponse, Response<BoxBody>>> {
+    match send(node, request).await {
+        Detour::Answered(response) => Some(Ok(*response)),
+        Detour::Lost => Some(Err(fail_request(node, request, Failure::UpstreamLost, None, ""))),
+        Detour::AllCutOff => Some(Err(refuse(node, request))),
+        Detour::NoHost => None,
+    }
+}
+
+/// Refuses a request, as neither this host nor another one reaches an upstream.
+pub fn refuse(node: &SharedNode, request: &CallerRequest) -> Response<BoxBody> {
+    fail_request(node, request, Failure::CutOff, Some(CUT_OFF_RETRY_AFTER), "")
+}
+
 /// Passes a request on to another host.
-pub async fn send(node: &SharedNode, request: &CallerRequest) -> Detour {
+async fn send(node: &SharedNode, request: &CallerRequest) -> Detour {
     let hosts = hosts(node);
     if hosts.is_empty() {
         return Detour::NoHost;
--- a/crates/tarragon_node/src/engine_requests.rs
+++ b/crates/tarragon_node/src/engine_requests.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     attempt::{self, Attempt, AttemptOptions},
-    detour::{self, Detour},
+    detour,
     engine_grants::{self, Grant, NoGrant},
     lost_runs,
     node::SharedNode,
@@ -37,7 +37,7 @@
 ) -> Response<BoxBody> {
     let mut retry_state = RetryState::default();
     if request.parsed_headers.is_detour && node.is_cut_off() {
-        return fail_request(&node, &request, Failure::CutOff, Some(NO_OWNER_RETRY_AFTER), "");
+        return detour::refuse(&node, &request);
     }
     let result = request.within_time(dispatch(&node, &request, &mut retry_state)).await;
     let started_response = match result {
@@ -296,18 +296,11 @@
     retry_state.is_detour_tried = true;
     retry_state.current_upstream = None;
     retry_state.is_sent = true;
-    match detour::send(node, request).await {
-        Detour::Answered(response) => Some(Ok(*response)),
-        Detour::Lost => Some(Err(fail_request(node, request, Failure::UpstreamLost, None, ""))),
-        Detour::AllCutOff => {
-            let retry_after = Some(NO_OWNER_RETRY_AFTER);
-            Some(Err(fail_request(node, request, Failure::CutOff, retry_after, "")))
-        }
-        Detour::NoHost => {
-            retry_state.is_sent = false;
-            None
-        }
+    let answer = detour::answer(node, request).await;
+    if answer.is_none() {
+        retry_state.is_sent = false;
     }
+    answer
 }
 
 fn no_origin_response(
--- a/crates/tarragon_node/src/main.rs
+++ b/crates/tarragon_node/src/main.rs
@@ -9,6 +9,7 @@
 mod caller_connection;
 mod caller_requests;
 mod detour;
+mod drained_upstreams;
 mod engine_grants;
 mod engine_requests;
 mod engines;
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -1,10 +1,11 @@
 //! State of the process, shared by all its tasks on a single thread.
 
 use crate::{
-    bad_records::BadRecords, detour::Detours, engines::OwnedEngines, events::Events,
-    metrics::NodeMetrics, peers::Peers, quarantine::Quarantine, registry::Registry,
-    send_permits::SendPermits, store_health::StoreHealth, stream_origins::StreamOrigins,
-    upstream_ends::UpstreamEnds, upstream_loads::UpstreamLoads,
+    bad_records::BadRecords, detour::Detours, drained_upstreams::DrainedUpstreams,
+    engines::OwnedEngines, events::Events, metrics::NodeMetrics, peers::Peers,
+    quarantine::Quarantine, registry::Registry, send_permits::SendPermits,
+    store_health::StoreHealth, stream_origins::StreamOrigins, upstream_ends::UpstreamEnds,
+    upstream_loads::UpstreamLoads,
 };
 use rail_lease::{ReturnGuard, host_lease::HostLease};
 use rail_member::{
@@ -96,6 +97,8 @@
     pub running_time: Cell<RunningTime>,
     /// Replica of the store's records.
     pub registry: Registry,
+    /// Starts of upstreams that get no more requests.
+    pub drained_upstreams: DrainedUpstreams,
     /// Records that can't be used.
     pub bad_records: BadRecords,
     /// Links to other hosts and their registered addresses.
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -11,8 +11,8 @@
     replica::{PutOutcome, Record, RecordKind, Replica},
 };
 use rail_peer::FeedItem;
-use rail_revision::{Era, Revision};
-use rail_route::{RouteTable, Upstream, UpstreamState};
+use rail_revision::Revision;
+use rail_route::{RouteTable, UpstreamState};
 use rail_runtime::time_since_boot;
 use rail_site::{
     StoredObject, decode_announcement, decode_route_table, decode_upstream,
@@ -33,8 +33,6 @@
 /// Time after a store outage within which upstreams may renew records that expired during the
 /// outage. Until then their removal is not applied.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(1900);
-/// Upstreams that are remembered as drained; the one with the smallest id is forgotten first.
-const MAX_DRAINED_UPSTREAMS: usize = 4096;
 /// Changes queued for a slow follower before its feed is dropped.
 const MAX_QUEUED_CHANGES: usize = 512;
 
@@ -59,11 +57,6 @@
     store_recovered_at: Cell<Duration>,
     /// Record of the applied configuration.
     applied_config: RefCell<Option<(Revision, RecordText)>>,
-    /// Starts of upstreams that drain or have drained: id, start time and era of that state. An
-    /// older copy of the store may list them as ready.
-    drained: RefCell<BTreeMap<(String, u64), Era>>,
-    /// Starts of upstreams that say in their answers that they leave, whatever their records say.
-    leaving: RefCell<BTreeSet<(String, Option<u64>)>>,
 }
 
 impl Registry {
@@ -106,26 +99,6 @@
         items
     }
 
-    /// Returns the state of an upstream: one that says that it leaves, or has drained in an earlier era,
-    /// does not return to work because its record, or an older copy of the store, lists it so.
-    fn lasting_state(&self, upstream: &Upstream, era: Era) -> UpstreamState {
-        if self.leaving.borrow().contains(&(upstream.id.clone(), upstream.started_unix_ms)) {
-            return UpstreamState::Draining;
-        }
-        let Some(started) = upstream.started_unix_ms else { return upstream.state };
-        let mut drained = self.drained.borrow_mut();
-        let start = (upstream.id.clone(), started);
-        if upstream.state == UpstreamState::Draining {
-            if drained.len() >= MAX_DRAINED_UPSTREAMS {
-                drained.pop_first();
-            }
-            drained.entry(start).or_insert(era);
-            return UpstreamState::Draining;
-        }
-        let has_drained = drained.get(&start).is_some_and(|drained_in| *drained_in < era);
-        if has_drained { UpstreamState::Draining } else { upstream.state }
-    }
-
     /// Returns the revision up to which records of a kind are known.
     pub fn revision(&self, kind: RecordKind) -> Revision {
         self.replicas.borrow().get(&kind).map(Replica::revision).unwrap_or_default()
@@ -434,32 +407,6 @@
     *node.routes.borrow_mut() = Some(Arc::new(table));
 }
 
-/// Records that an upstream says in an answer that it leaves: from now on it gets no requests from
-/// this host.
-pub fn record_leaving(node: &SharedNode, upstream: &Upstream) {
-    let mut leaving = node.registry.leaving.borrow_mut();
-    if !leaving.insert((upstream.id.clone(), upstream.started_unix_ms)) {
-        return;
-    }
-    if leaving.len() > MAX_DRAINED_UPSTREAMS {
-        leaving.pop_first();
-    }
-    let mut upstreams = node.upstreams.borrow_mut();
-    let Some(known) = upstreams.find(&upstream.id) else { return };
-    if known.started_unix_ms == upstream.started_unix_ms {
-        let left = Upstream { state: UpstreamState::Draining, ..known.as_ref().clone() };
-        let revision = node.registry.revision(RecordKind::Upstreams);
-        node.events.important(&Event::Upstream {
-            upstream: &left.id,
-            service: &left.service,
-            state: "says_that_it_leaves",
-            revision,
-        });
-        upstreams.insert(left);
-        node.records_changed.notify_waiters();
-    }
-}
-
 fn apply_upstream(
     node: &SharedNode,
     name: &str,
@@ -467,7 +414,7 @@
     value: &Value,
 ) -> Result<(), String> {
     let mut upstream = decode_upstream(name, value).map_err(|error| error.to_string())?;
-    upstream.state = node.registry.lasting_state(&upstream, revision.era);
+    upstream.state = node.drained_upstreams.lasting_state(&upstream, revision.era);
     let mut upstreams = node.upstreams.borrow_mut();
     let before = upstreams.find(&upstream.id).map(|before| before.state);
     if before != Some(upstream.state) {
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     attempt::{self, Attempt, AttemptOptions},
-    detour::{self, Detour},
+    detour,
     engine_requests::StartedResponse,
     lost_runs,
     node::{Node, SharedNode},
@@ -41,7 +41,7 @@
     in_flight: InFlight,
 ) -> Response<BoxBody> {
     if request.parsed_headers.is_detour && node.is_cut_off() {
-        return fail_request(&node, &request, Failure::CutOff, Some(NO_UPSTREAM_RETRY_AFTER), "");
+        return detour::refuse(&node, &request);
     }
     let mut retry_state = RetryState::default();
     match request.within_time(answer(&node, &request, &mut retry_state)).await {
@@ -238,18 +238,11 @@
     retry_state.is_detour_tried = true;
     retry_state.current_upstream = None;
     retry_state.may_have_run = true;
-    match detour::send(node, request).await {
-        Detour::Answered(response) => Some(Ok(*response)),
-        Detour::Lost => Some(Err(fail_request(node, request, Failure::UpstreamLost, None, ""))),
-        Detour::AllCutOff => {
-            let retry_after = Some(NO_UPSTREAM_RETRY_AFTER);
-            Some(Err(fail_request(node, request, Failure::CutOff, retry_after, "")))
-        }
-        Detour::NoHost => {
-            retry_state.may_have_run = false;
-            None
-        }
+    let answer = detour::answer(node, request).await;
+    if answer.is_none() {
+        retry_state.may_have_run = false;
     }
+    answer
 }
 
 /// Returns whether a server error of an upstream should be retried.
