Late requests give way to those that can be in time

Cause: owners granted by priority and arrival only; under more prompts than an engine can read each request waits until it is late. Change: a request names the time from which its first event is late; grants go first to those that can still be in time. A late one is still granted when nothing else waits, or refused at its deadline.

--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -195,6 +195,8 @@
     pub max_backlog_ms: u32,
     /// Longest pause between two events for which the answer is in time, in milliseconds.
     pub max_event_gap_ms: Option<u32>,
+    /// Time after which the first event is late, in milliseconds.
+    pub late_in_ms: u32,
 }
 
 /// One item of a feed of the store's records.
--- a/crates/rail_place/src/owner/estimate.rs
+++ b/crates/rail_place/src/owner/estimate.rs
@@ -16,23 +16,34 @@
 
 impl EngineOwner {
     /// Estimates the time until the engine reads the prompt of a new request: it reads those of the
-    /// granted requests and of waiting ones of the same or a higher priority before.
-    pub fn backlog(&self, priority: u8, now: Duration) -> Duration {
-        let ahead = self.waiting.values().filter(|ahead| ahead.request.priority <= priority);
-        let tokens = ahead.map(|ahead| ahead.request.prompt_tokens).fold(0, u32::saturating_add);
+    /// granted requests and of waiting ones that go ahead of it before.
+    pub fn backlog(&self, request: &StartRequest, now: Duration) -> Duration {
+        let position = self.grant_position(request, now);
+        let waiting = self.waiting.values().map(|waiting| &waiting.request);
+        let ahead = waiting.filter(|ahead| self.grant_position(ahead, now) <= position);
+        let tokens = ahead.map(|ahead| ahead.prompt_tokens).fold(0, u32::saturating_add);
         self.pacer.read_until().saturating_sub(now) + self.pacer.paced_time(tokens)
     }
 
+    /// Returns the place of a request in the order of grants; requests of the same place are granted
+    /// in the order of their arrival. Load pattern: more prompts than the engine can read. In the order
+    /// of arrival all would be late; those that are late already give way to those that need not be.
+    pub(super) fn grant_position(&self, request: &StartRequest, now: Duration) -> (bool, u8) {
+        let first_event_at = now + self.pacer.reading_time(request.prompt_tokens);
+        (first_event_at > request.late_at, request.priority)
+    }
+
     /// Estimates the time until a request can start: the longer one of the wait for a slot and the
     /// wait for its adapter.
     pub(super) fn estimate_wait(&self, request: &StartRequest, now: Duration) -> Duration {
         if !self.has_model(&request.model) {
             return Duration::from_secs(2);
         }
+        let position = self.grant_position(request, now);
         let ahead = self
             .waiting
             .values()
-            .filter(|waiting| waiting.request.priority <= request.priority)
+            .filter(|ahead| self.grant_position(&ahead.request, now) <= position)
             .count();
         let occupied = self.granted.len() + ahead;
         let excess = occupied.saturating_sub(self.slots as usize - 1) as u32;
--- a/crates/rail_place/src/owner/message.rs
+++ b/crates/rail_place/src/owner/message.rs
@@ -27,6 +27,8 @@
     pub max_estimated_wait: Duration,
     /// Time by which the request must start; a queued request is refused afterwards.
     pub start_deadline: Duration,
+    /// Time of the first event from which on the answer is late.
+    pub late_at: Duration,
     /// Longest estimated time until the engine reads the prompt; otherwise the request is refused at
     /// once.
     pub max_backlog: Duration,
--- a/crates/rail_place/src/owner/mod.rs
+++ b/crates/rail_place/src/owner/mod.rs
@@ -175,7 +175,7 @@
     /// Returns when the request may be retried, if it can't start within its limits.
     pub fn request_start(&mut self, request: StartRequest, now: Duration) -> Result<(), Duration> {
         let wait = self.estimate_wait(&request, now);
-        let backlog = self.backlog(request.priority, now);
+        let backlog = self.backlog(&request, now);
         if wait > request.max_estimated_wait
             || now + wait > request.start_deadline
             || backlog > request.max_backlog
@@ -495,15 +495,18 @@
         }
     }
 
-    /// Grants waiting requests by priority and then by arrival, if their adapter is resident or needs
-    /// a trial request, and their prompt holds up no running stream for too long. A prompt that waits
-    /// for that isn't overtaken, so that a long one gets its turn.
+    /// Grants waiting requests, those first that can still be in time, by priority and then by arrival,
+    /// if their adapter is resident or needs a trial request, and their prompt holds up no running
+    /// stream for too long. A prompt that waits for that isn't overtaken, so that a long one gets its
+    /// turn.
     fn grant_waiting(&mut self, now: Duration, commands: &mut Vec<OwnerCommand>) {
         self.reads_at = None;
-        let mut order: Vec<(u8, Duration, StartId)> = self
+        let mut order: Vec<((bool, u8), Duration, StartId)> = self
             .waiting
             .iter()
-            .map(|(id, waiting)| (waiting.request.priority, waiting.queued_at, *id))
+            .map(|(id, waiting)| {
+                (self.grant_position(&waiting.request, now), waiting.queued_at, *id)
+            })
             .collect();
         order.sort_unstable();
         for (_, _, id) in order {
--- a/crates/rail_place/src/pace.rs
+++ b/crates/rail_place/src/pace.rs
@@ -72,7 +72,7 @@
     pub fn earliest_start(&self, prompt: Prompt, now: Duration) -> Duration {
         let now = now.max(self.read_until());
         let Some(window) = self.window() else { return now };
-        let duration = self.speed.time_for(prompt.tokens.into());
+        let duration = self.reading_time(prompt.tokens);
         let budget = self.reading_time_within(window);
         if duration > budget {
             let last_end = self.readings.back().map(|last| last.ends_at);
@@ -97,13 +97,18 @@
         self.earliest_start(prompt, now) <= now.max(self.read_until())
     }
 
+    /// Estimates the time in which the engine reads a prompt.
+    pub fn reading_time(&self, tokens: u32) -> Duration {
+        self.speed.time_for(tokens.into())
+    }
+
     /// Estimates the time in which the engine reads several prompts that wait, as it paces them.
     pub fn paced_time(&self, tokens: u32) -> Duration {
         let share = match self.window() {
             Some(window) => self.reading_time_within(window).as_secs_f64() / window.as_secs_f64(),
             None => 1.0,
         };
-        self.speed.time_for(tokens.into()).div_f64(share)
+        self.reading_time(tokens).div_f64(share)
     }
 
     /// Records that a prompt was sent.
@@ -114,7 +119,7 @@
         let tokens_to_read = ahead_s * self.speed.tokens_per_s() + f64::from(prompt.tokens);
         let max_event_gap = prompt.max_event_gap;
         self.running.insert(id, RunningPrompt { max_event_gap, tokens_to_read });
-        let ends_at = begins_at + self.speed.time_for(prompt.tokens.into());
+        let ends_at = begins_at + self.reading_time(prompt.tokens);
         self.readings.push_back(Reading { begins_at, ends_at });
         let longest_window = self.window().unwrap_or_default();
         while self.readings.front().is_some_and(|first| first.ends_at + longest_window < now) {
--- a/crates/rail_place/tests/engine_room.rs
+++ b/crates/rail_place/tests/engine_room.rs
@@ -279,6 +279,7 @@
             max_event_gap: None,
             max_estimated_wait: ms(3_000),
             start_deadline: now + ms(3_000),
+            late_at: Duration::MAX,
             max_backlog: ms(3_000),
         };
         let _refused = self.owner.request_start(request, now);
--- a/crates/rail_place/tests/owner.rs
+++ b/crates/rail_place/tests/owner.rs
@@ -42,6 +42,7 @@
         max_event_gap: None,
         max_estimated_wait: ms(10_000),
         start_deadline,
+        late_at: Duration::MAX,
         max_backlog: ms(10_000),
     }
 }
--- a/crates/rail_place/tests/pace.rs
+++ b/crates/rail_place/tests/pace.rs
@@ -96,15 +96,40 @@
     }
 }
 
-/// Plays a load of random prompts through the owner of one engine. `max_event_gap` is what the
-/// requests ask for; their answers are judged by [`MAX_GAP`].
-fn play(
-    requests_per_s: f64,
-    mean_tokens: f64,
+/// A load of random prompts on one engine. Answers are judged by [`MAX_GAP`] and
+/// [`TARGET_LATENCY`], whatever the requests tell the owner.
+#[derive(Debug, Clone, Copy)]
+struct Load {
+    /// Prompt tokens that arrive, as a share of what the engine can read.
+    share: f64,
     tokens_per_s: f64,
+    /// Longest pause that the requests name.
     max_event_gap: Option<Duration>,
+    /// Longest wait that they accept.
+    max_wait: Duration,
+    /// Whether they tell when they are late.
+    tells_lateness: bool,
     seed: u64,
-) -> Outcome {
+}
+
+/// Mean length of a prompt in tokens.
+const MEAN_TOKENS: f64 = 1_460.0;
+
+impl Load {
+    fn paced(share: f64, tokens_per_s: f64, seed: u64) -> Self {
+        let max_event_gap = Some(MAX_GAP);
+        Self { share, tokens_per_s, max_event_gap, max_wait: ms(400), tells_lateness: true, seed }
+    }
+
+    fn unpaced(self) -> Self {
+        Self { max_event_gap: None, ..self }
+    }
+}
+
+/// Plays a load through the owner of one engine.
+fn play(load: Load) -> Outcome {
+    let Load { share, tokens_per_s, max_event_gap, max_wait, tells_lateness, seed } = load;
+    let requests_per_s = share * tokens_per_s / MEAN_TOKENS;
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut owner = EngineOwner::new(64, 4, ms(5_000));
     owner.poll(ms(0), true);
@@ -117,7 +142,7 @@
     while next_id < 1_500 || !engine.runs.is_empty() {
         while next_id < 1_500 && next_at <= engine.now {
             let spread: f64 = random.random_range(0.05..1.0_f64).ln() / -0.86;
-            let tokens = (mean_tokens * spread).min(4_700.0) as u32 + 50;
+            let tokens = (MEAN_TOKENS * spread).min(4_700.0) as u32 + 50;
             let request = StartRequest {
                 id: next_id,
                 model: "m".to_owned(),
@@ -125,9 +150,10 @@
                 priority: 1,
                 prompt_tokens: tokens,
                 max_event_gap,
-                max_estimated_wait: ms(400),
-                start_deadline: next_at + TARGET_LATENCY,
-                max_backlog: ms(400),
+                max_estimated_wait: max_wait,
+                start_deadline: next_at + max_wait,
+                late_at: if tells_lateness { next_at + TARGET_LATENCY } else { Duration::MAX },
+                max_backlog: max_wait,
             };
             match owner.request_start(request, next_at) {
                 Ok(()) => drop(waiting.insert(next_id, (next_at, tokens))),
@@ -190,9 +216,8 @@
 fn prompts_that_wait_keep_running_streams_in_time() {
     for tokens_per_s in [25_800.0, 30_600.0] {
         // A third of what the engine can read.
-        let requests_per_s = tokens_per_s / 1_460.0 / 3.0;
-        let unpaced = play(requests_per_s, 1_460.0, tokens_per_s, None, 1);
-        let paced = play(requests_per_s, 1_460.0, tokens_per_s, Some(MAX_GAP), 1);
+        let load = Load::paced(0.33, tokens_per_s, 1);
+        let (unpaced, paced) = (play(load.unpaced()), play(load));
         println!("{tokens_per_s} tokens/s: unpaced {unpaced:?}, paced {paced:?}");
         let late = paced.late_by_first_event + paced.late_by_pause;
         assert!(late * 100 <= paced.in_time, "{tokens_per_s}: {paced:?}, unpaced {unpaced:?}");
@@ -203,15 +228,28 @@
 #[test]
 fn under_a_burst_more_answers_are_in_time_than_without_pacing() {
     for seed in 0..3 {
-        let requests_per_s = 25_800.0 / 1_460.0 * 0.7;
-        let unpaced = play(requests_per_s, 1_460.0, 25_800.0, None, seed);
-        let paced = play(requests_per_s, 1_460.0, 25_800.0, Some(MAX_GAP), seed);
+        let load = Load::paced(0.7, 25_800.0, seed);
+        let (unpaced, paced) = (play(load.unpaced()), play(load));
         println!("seed {seed}: unpaced {unpaced:?}, paced {paced:?}");
         assert!(paced.in_time > 2 * unpaced.in_time, "{paced:?}, unpaced {unpaced:?}");
         assert!(paced.late_by_first_event + paced.late_by_pause < 30, "{paced:?}");
     }
 }
 
+/// Load pattern: more prompts than the engine can read, and requests that wait for longer than
+/// their first event may take. In the order of arrival nearly all would be late.
+#[test]
+fn late_requests_give_way_to_those_that_can_be_in_time() {
+    for seed in 0..3 {
+        let load = Load { max_wait: ms(4_000), ..Load::paced(1.2, 25_800.0, seed) };
+        let by_arrival = play(Load { tells_lateness: false, ..load });
+        let outcome = play(load);
+        println!("seed {seed}: by arrival {by_arrival:?}, late ones last {outcome:?}");
+        assert!(outcome.in_time > 2 * by_arrival.in_time, "{outcome:?}, {by_arrival:?}");
+        assert!(outcome.in_time > 600, "{outcome:?}");
+    }
+}
+
 #[test]
 fn a_prompt_longer_than_any_pause_is_read_alone_and_is_not_overtaken() {
     let mut pacer = PromptPacer::default();
--- a/crates/tarragon_node/src/engine_grants.rs
+++ b/crates/tarragon_node/src/engine_grants.rs
@@ -171,6 +171,7 @@
     wait_limits: WaitLimits,
 ) -> Result<(Grant, Option<u64>), GrantRefusal> {
     let (model, adapter) = split_model(request.model());
+    let time_until_late = request.route.target_latency.saturating_sub(request.arrived_at.elapsed());
     let call = GrantRequest {
         request: request.parsed_headers.request_id.clone(),
         upstream: engine.id.clone(),
@@ -181,6 +182,7 @@
         max_estimated_wait_ms: wait_limits.estimated_wait.as_millis() as u32,
         wait_ms: wait_limits.actual_wait.as_millis() as u32,
         max_backlog_ms: wait_limits.backlog.as_millis() as u32,
+        late_in_ms: time_until_late.as_millis() as u32,
         max_event_gap_ms: request.route.max_event_gap.map(|gap| gap.as_millis() as u32),
     };
     if let Some(local) = node.engines.request_grant(node, &call) {
