A version counts as the only one while other hosts or recent records confirm it (ORDER)

Callers saw (report of other operators): streams that had begun at a new software version went on at another one, at a host that had been out of step while the new version joined. Cause: rail_origin::decide took Only(version) whether or not the asked hosts replied, and SeenVersions said it from records of any age; a host that is cut off believes to be alone, so nobody is silent either. Change: Presumed beside Only for old records; both count by the replies of other hosts, else the store is asked; the registered version counts by recent records. Ruled out: any silent host refuses (each take-up after the kill of a keeper would be refused until it isn't live any more).

--- a/crates/rail_origin/src/lib.rs
+++ b/crates/rail_origin/src/lib.rs
@@ -24,7 +24,9 @@
     pub use crate::{
         journal::{OriginJournal, Slot, StoredOrigins, StreamsByVersion},
         keepers::rank_keepers,
-        knowledge::{OriginKnowledge, OriginSource, OriginUnknown, decide},
+        knowledge::{
+            AskedHosts, OriginKnowledge, OriginSource, OriginUnknown, decide, needs_store,
+        },
         pin::SoftwarePin,
         table::{OriginTable, StreamKey},
         versions::SeenVersions,
--- a/crates/rail_origin/src/versions.rs
+++ b/crates/rail_origin/src/versions.rs
@@ -26,13 +26,23 @@
     }
 
     /// Returns what follows for a stream that is not recorded, at a time since the start of this
-    /// process.
-    pub fn knowledge(&self, service: &str, now: Duration) -> OriginKnowledge {
+    /// process. `are_records_recent` is whether the records of upstreams would show a version that has
+    /// joined.
+    pub fn knowledge(
+        &self,
+        service: &str,
+        now: Duration,
+        are_records_recent: bool,
+    ) -> OriginKnowledge {
         let Some(versions) = self.seen.get(service) else { return OriginKnowledge::Unaware };
         match versions.first_key_value() {
             Some(_several) if versions.len() > 1 => OriginKnowledge::Unrecorded,
             Some((version, _)) if now >= RETENTION + LEARNING_TIME => {
-                OriginKnowledge::Only(version.clone())
+                if are_records_recent {
+                    OriginKnowledge::Only(version.clone())
+                } else {
+                    OriginKnowledge::Presumed(version.clone())
+                }
             }
             Some(_) | None => OriginKnowledge::Unaware,
         }
--- a/crates/rail_origin/tests/fleet.rs
+++ b/crates/rail_origin/tests/fleet.rs
@@ -2,8 +2,8 @@
 //! so at the version that began it, and enough streams go on.
 
 use rail_origin::{
-    OriginJournal, OriginKnowledge, OriginTable, RETENTION, SeenVersions, Slot, StoredOrigins,
-    StreamKey, StreamsByVersion, decide, rank_keepers,
+    AskedHosts, OriginJournal, OriginKnowledge, OriginTable, RETENTION, SeenVersions, Slot,
+    StoredOrigins, StreamKey, StreamsByVersion, decide, rank_keepers,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -38,6 +38,8 @@
     /// Names of the objects that this process has written.
     written: BTreeSet<String>,
     up_since: u64,
+    /// Whether it is cut off from all others and from the store.
+    is_out_of_step: bool,
 }
 
 struct Fleet {
@@ -89,10 +91,25 @@
         rank_keepers(SERVICE, live).map(|name| name.parse().expect("a number")).collect()
     }
 
+    /// Returns the hosts that are up and hear of each other and of the store.
+    fn in_step(&self) -> Vec<usize> {
+        let hosts = 0..self.hosts.len();
+        hosts.filter(|host| self.is_up(*host) && !self.hosts[*host].is_out_of_step).collect()
+    }
+
+    /// Returns what a host alone knows of a stream.
+    fn knowledge(&self, host: usize, stream: StreamKey) -> OriginKnowledge {
+        let known = &self.hosts[host];
+        match known.table.find(stream) {
+            Some(version) => OriginKnowledge::Began(version),
+            None => known.seen.knowledge(SERVICE, self.uptime(host), !known.is_out_of_step),
+        }
+    }
+
     /// One step: hosts see versions, streams begin and end, the first keeper writes.
     fn advance(&mut self) {
         self.step += 1;
-        let up: Vec<usize> = (0..self.hosts.len()).filter(|host| self.is_up(*host)).collect();
+        let up = self.in_step();
         for host in &up {
             let uptime = self.uptime(*host);
             for version in &self.versions {
@@ -124,6 +141,9 @@
         }
         let slot = Slot::at(self.time_of_day());
         for (rank, keeper) in self.keepers().into_iter().take(2).enumerate() {
+            if self.hosts[keeper].is_out_of_step {
+                continue;
+            }
             let uptime = self.uptime(keeper);
             let keeper = &mut self.hosts[keeper];
             keeper.seen.observe(SERVICE, version, uptime);
@@ -137,6 +157,9 @@
 
     fn write(&mut self) {
         let Some(first) = self.keepers().first().copied() else { return };
+        if self.hosts[first].is_out_of_step {
+            return;
+        }
         while let Some((slot, origins)) = self.hosts[first].journal.take_changed() {
             let name = slot.object_name(&first.to_string());
             let is_first_write = self.hosts[first].written.insert(name.clone());
@@ -168,20 +191,33 @@
     fn take_up(&mut self, request: &str, began_at: &str) {
         let up: Vec<usize> = (0..self.hosts.len()).filter(|host| self.is_up(*host)).collect();
         let host = up[self.random.below(up.len() as u64) as usize];
+        self.take_up_at(host, request, began_at);
+    }
+
+    fn take_up_at(&mut self, host: usize, request: &str, began_at: &str) {
         let stream = StreamKey::of(request);
-        let know = |host: usize| match self.hosts[host].table.find(stream) {
-            Some(version) => OriginKnowledge::Began(version),
-            None => self.hosts[host].seen.knowledge(SERVICE, self.uptime(host)),
-        };
-        let asked = self.keepers().into_iter().take(3);
-        let told = asked.map(know).fold(know(host), OriginKnowledge::combine);
+        let mut told = self.knowledge(host, stream);
+        let mut asked = AskedHosts { is_alone: self.hosts.len() == 1, ..AskedHosts::default() };
+        let is_cut_off = self.hosts[host].is_out_of_step;
+        let keepers = self.keepers().into_iter().filter(|keeper| *keeper != host);
+        for keeper in keepers.take(3) {
+            if is_cut_off || self.hosts[keeper].is_out_of_step {
+                asked.silent += 1;
+                continue;
+            }
+            let knowledge = self.knowledge(keeper, stream);
+            asked.replied += 1;
+            asked.unaware += usize::from(knowledge == OriginKnowledge::Unaware);
+            told = told.combine(knowledge);
+        }
         let stored = self.store.values();
         let stored =
             stored.map(|stored| stored.knowledge(SERVICE, Some(stream), self.time_of_day()));
         let stored = stored.fold(OriginKnowledge::Unaware, OriginKnowledge::combine);
-        let stored = (!self.is_store_away).then_some(stored);
-        let registered = (self.versions.len() == 1).then(|| self.versions[0].to_owned());
-        match decide(told, false, stored, registered) {
+        let stored = (!self.is_store_away && !is_cut_off).then_some(stored);
+        let registered =
+            (self.versions.len() == 1 && !is_cut_off).then(|| self.versions[0].to_owned());
+        match decide(told, asked, stored, registered) {
             Ok((version, _)) if version == began_at => self.resumed += 1,
             Ok(_other) => self.joined += 1,
             Err(_unknown) => self.refused += 1,
@@ -244,6 +280,41 @@
     }
 }
 
+/// Guards against a host that is cut off while a version joins, and lets streams of that version go on
+/// at the one it knows; against the same of keepers that are cut off; and against refusals by hosts in
+/// step.
+#[test]
+fn hosts_out_of_step_join_no_streams_of_a_version_that_has_joined() {
+    for hosts in [3, 7, 74] {
+        for seed in 0..4 {
+            let mut fleet = Fleet::new(hosts, seed);
+            fleet.advance_for(RETENTION + Duration::from_secs(10));
+            let keepers = fleet.keepers();
+            let out_of_step = [keepers[0], keepers[hosts - 1]];
+            for host in out_of_step {
+                fleet.hosts[host].is_out_of_step = true;
+            }
+            fleet.versions = vec!["v1", "v1.1"];
+            fleet.advance_for(Duration::from_secs(1));
+            let running = fleet.running.clone();
+            for (request, _, version, _) in &running {
+                for host in out_of_step {
+                    fleet.take_up_at(host, request, version);
+                }
+            }
+            assert_eq!((fleet.resumed, fleet.joined), (0, 0), "{hosts} hosts, seed {seed}");
+            let in_step = fleet.in_step();
+            for (request, _, version, _) in &running {
+                for host in &in_step {
+                    fleet.take_up_at(*host, request, version);
+                }
+            }
+            assert_eq!(fleet.joined, 0, "{hosts} hosts, seed {seed}");
+            assert_eq!(fleet.resumed as usize, running.len() * in_step.len(), "seed {seed}");
+        }
+    }
+}
+
 /// Guards against streams that go on at another version while the store is away.
 #[test]
 fn no_stream_is_joined_while_the_store_is_away() {
--- a/crates/rail_origin/tests/origin.rs
+++ b/crates/rail_origin/tests/origin.rs
@@ -1,6 +1,9 @@
 //! What hosts know of the origins of streams, alone and together.
 
-use rail_origin::{OriginKnowledge, OriginTable, RETENTION, SeenVersions, SoftwarePin, StreamKey};
+use rail_origin::{
+    AskedHosts, OriginKnowledge, OriginTable, OriginUnknown, RETENTION, SeenVersions, SoftwarePin,
+    StreamKey, decide,
+};
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -17,6 +20,7 @@
 #[test]
 fn hosts_combine_what_they_know_in_any_order() {
     use OriginKnowledge::{Unaware, Unrecorded};
+    let presumed = |version: &str| OriginKnowledge::Presumed(version.to_owned());
     let cases = [
         (began("a"), Unrecorded, began("a")),
         (began("a"), only("b"), began("a")),
@@ -25,6 +29,12 @@
         (only("a"), only("b"), Unrecorded),
         (only("a"), Unaware, only("a")),
         (Unaware, Unaware, Unaware),
+        (presumed("a"), only("a"), only("a")),
+        (presumed("a"), only("b"), Unrecorded),
+        (presumed("a"), presumed("b"), Unrecorded),
+        (presumed("a"), Unaware, presumed("a")),
+        (presumed("a"), began("b"), began("b")),
+        (presumed("a"), Unrecorded, Unrecorded),
     ];
     for (one, other, together) in cases {
         assert_eq!(one.clone().combine(other.clone()), together, "{one:?} with {other:?}");
@@ -37,19 +47,47 @@
 #[test]
 fn a_version_is_the_only_one_after_streams_of_others_have_ended() {
     let mut seen = SeenVersions::default();
-    assert_eq!(seen.knowledge("s", RETENTION * 2), OriginKnowledge::Unaware);
+    assert_eq!(seen.knowledge("s", RETENTION * 2, true), OriginKnowledge::Unaware);
     seen.observe("s", "a", SECOND);
-    assert_eq!(seen.knowledge("s", SECOND), OriginKnowledge::Unaware, "it has just started");
+    assert_eq!(seen.knowledge("s", SECOND, true), OriginKnowledge::Unaware, "it has just started");
     seen.observe("s", "a", RETENTION * 2);
-    assert_eq!(seen.knowledge("s", RETENTION * 2), only("a"));
+    assert_eq!(seen.knowledge("s", RETENTION * 2, true), only("a"));
     seen.observe("s", "b", RETENTION * 2);
-    assert_eq!(seen.knowledge("s", RETENTION * 2), OriginKnowledge::Unrecorded);
+    assert_eq!(seen.knowledge("s", RETENTION * 2, true), OriginKnowledge::Unrecorded);
     let almost = RETENTION * 2 + SECOND * 29;
     seen.observe("s", "a", almost);
     seen.prune(almost);
     assert!(seen.is_mixed("s"), "streams of b may still be resumed");
     seen.prune(RETENTION * 3);
-    assert_eq!(seen.knowledge("s", RETENTION * 3), only("a"));
+    assert_eq!(seen.knowledge("s", RETENTION * 3, true), only("a"));
+}
+
+/// Guards against a host that is cut off or stood still, which takes the version it knows for the only
+/// one, and against refusals of hosts in step of which one or two others have just been killed.
+#[test]
+fn a_version_is_the_only_one_if_other_hosts_confirm_it() {
+    let asked = |replied, silent| AskedHosts { replied, silent, ..AskedHosts::default() };
+    let presumed = || OriginKnowledge::Presumed("a".to_owned());
+    let goes_on = |told, asked| decide(told, asked, None, None).is_ok();
+    for (replied, silent, is_confirmed) in
+        [(0, 0, false), (0, 3, false), (1, 2, false), (1, 1, true), (1, 0, true), (2, 1, true)]
+    {
+        assert_eq!(goes_on(only("a"), asked(replied, silent)), is_confirmed, "{replied} {silent}");
+    }
+    let alone = AskedHosts { is_alone: true, ..AskedHosts::default() };
+    assert!(goes_on(only("a"), alone) && !goes_on(presumed(), alone));
+    for (replied, silent, is_confirmed) in
+        [(0, 0, false), (1, 0, false), (2, 0, true), (2, 1, true), (2, 2, false), (3, 0, true)]
+    {
+        assert_eq!(goes_on(presumed(), asked(replied, silent)), is_confirmed, "{replied} {silent}");
+    }
+    let unaware = AskedHosts { replied: 3, unaware: 1, ..AskedHosts::default() };
+    assert!(!goes_on(presumed(), unaware));
+    let stored = Some(OriginKnowledge::Unaware);
+    let registered = Some("a".to_owned());
+    let refused = decide(presumed(), asked(0, 3), stored.clone(), registered.clone());
+    assert_eq!(refused, Err(OriginUnknown::SourceSilent));
+    assert!(decide(only("a"), asked(0, 3), stored, registered).is_ok(), "the store confirms it");
 }
 
 /// Guards against memory that grows with the streams, and against a second host that renames the
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -202,6 +202,12 @@
         RecordKind::ALL.into_iter().filter(is_old).collect()
     }
 
+    /// Returns whether this host's records of upstreams are so recent that they show those which have
+    /// joined.
+    pub fn are_upstreams_recent(&self) -> bool {
+        self.is_younger(&self.record_ages(), RecordKind::Upstreams, RefreshBudget::recent_age)
+    }
+
     /// Returns whether records of these ages are recent enough to follow their host. The kinds with
     /// the shortest bounds decide.
     pub fn are_recent(&self, record_ages: &RecordAges) -> bool {
--- a/crates/tarragon_node/src/peers.rs
+++ b/crates/tarragon_node/src/peers.rs
@@ -116,6 +116,12 @@
         self.registered.borrow().get(host).copied()
     }
 
+    /// Returns whether the store registers this host and no other one.
+    pub fn is_only_host(&self, own: &str) -> bool {
+        let registered = self.registered.borrow();
+        registered.len() == 1 && registered.contains_key(own)
+    }
+
     /// Returns whether every host that may own engines has read their owners from an era of the store.
     pub fn have_all_read_owners(&self, hosts: &HostView, era: Era) -> bool {
         let registered = self.registered.borrow();
--- a/crates/tarragon_node/src/stream_origins.rs
+++ b/crates/tarragon_node/src/stream_origins.rs
@@ -11,8 +11,8 @@
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use rail_origin::{
-    OriginKnowledge, OriginSource, OriginTable, OriginUnknown, SeenVersions, SoftwarePin,
-    StreamKey, StreamsByVersion, rank_keepers,
+    AskedHosts, OriginKnowledge, OriginSource, OriginTable, OriginUnknown, SeenVersions,
+    SoftwarePin, StreamKey, StreamsByVersion, rank_keepers,
 };
 use rail_peer::{PeerReply, PeerRequest, StreamOriginRequest, StreamStarts};
 use rail_route::{ServiceId, SoftwareVersion, Upstream};
@@ -51,18 +51,12 @@
 
 impl StreamOrigins {
     /// Returns what this host alone knows of a stream.
-    fn knowledge(
-        &self,
-        service: &str,
-        stream: Option<StreamKey>,
-        now: Duration,
-    ) -> OriginKnowledge {
+    fn knowledge(&self, service: &str, stream: Option<StreamKey>, node: &Node) -> OriginKnowledge {
         let tables = self.tables.borrow();
-        let found = stream.and_then(|stream| tables.get(service)?.find(stream));
-        match found {
-            Some(version) => OriginKnowledge::Began(version),
-            None => self.seen.borrow().knowledge(service, now),
+        if let Some(version) = stream.and_then(|stream| tables.get(service)?.find(stream)) {
+            return OriginKnowledge::Began(version);
         }
+        self.seen.borrow().knowledge(service, node.now(), node.are_upstreams_recent())
     }
 
     fn record(&self, service: &str, software: &str, stream: StreamKey, now: Duration) {
@@ -176,26 +170,29 @@
     service: &str,
     stream: Option<StreamKey>,
 ) -> Result<(SoftwareVersion, OriginSource), OriginUnknown> {
-    let own = node.stream_origins.knowledge(service, stream, node.now());
+    let own = node.stream_origins.knowledge(service, stream, node);
     if let OriginKnowledge::Began(version) = own {
         return Ok((version, "this_host"));
     }
-    let Answers { knowledge, is_any_silent } = match stream {
+    let Answers { knowledge, asked } = match stream {
         Some(stream) => ask_keepers(node, service, stream).await,
         None => Answers::default(),
     };
     let told = own.combine(knowledge);
-    let stored = match told {
-        OriginKnowledge::Began(_) | OriginKnowledge::Only(_) => None,
-        OriginKnowledge::Unaware | OriginKnowledge::Unrecorded => {
-            stored_origins::read(node, service, stream).await
-        }
+    let stored = if rail_origin::needs_store(&told, asked) {
+        stored_origins::read(node, service, stream).await
+    } else {
+        None
     };
-    rail_origin::decide(told, is_any_silent, stored, registered_version(node, service))
+    rail_origin::decide(told, asked, stored, registered_version(node, service))
 }
 
-/// Returns the version of all registered upstreams of a service, if they have the same.
+/// Returns the version of all registered upstreams of a service, if they have the same by recent
+/// records.
 fn registered_version(node: &Node, service: &str) -> Option<SoftwareVersion> {
+    if !node.are_upstreams_recent() {
+        return None;
+    }
     let upstreams = node.upstreams.borrow();
     let of_service = upstreams.iter().filter(|upstream| upstream.service == service);
     let versions: BTreeSet<&SoftwareVersion> =
@@ -209,13 +206,12 @@
 /// What other hosts know of a stream.
 struct Answers {
     knowledge: OriginKnowledge,
-    /// Whether a host did not reply.
-    is_any_silent: bool,
+    asked: AskedHosts,
 }
 
 impl Default for Answers {
     fn default() -> Self {
-        Self { knowledge: OriginKnowledge::Unaware, is_any_silent: false }
+        Self { knowledge: OriginKnowledge::Unaware, asked: AskedHosts::default() }
     }
 }
 
@@ -229,10 +225,15 @@
     let mut questions: FuturesUnordered<_> =
         others.take(ASKED_HOSTS).map(|peer| ask(node, peer, question.clone())).collect();
     let mut answers = Answers::default();
+    answers.asked.is_alone = node.peers.is_only_host(&node.settings.host);
     while let Some(answer) = questions.next().await {
         match answer {
-            Some(knowledge) => answers.knowledge = answers.knowledge.combine(knowledge),
-            None => answers.is_any_silent = true,
+            Some(knowledge) => {
+                answers.asked.replied += 1;
+                answers.asked.unaware += usize::from(knowledge == OriginKnowledge::Unaware);
+                answers.knowledge = answers.knowledge.combine(knowledge);
+            }
+            None => answers.asked.silent += 1,
         }
         if matches!(answers.knowledge, OriginKnowledge::Began(_)) {
             break;
@@ -280,7 +281,7 @@
 
 /// Returns what this host knows of a stream to a host that asks.
 pub fn answer(node: &Node, question: &StreamOriginRequest) -> OriginKnowledge {
-    node.stream_origins.knowledge(&question.service, Some(question.stream), node.now())
+    node.stream_origins.knowledge(&question.service, Some(question.stream), node)
 }
 
 /// Records streams that another host began, and stores them if this host is the first keeper.
