Most heartbeats are exchanged within the zone

Change: HostView::choose_partners: one partner of the own zone and, in half of the rounds (in each round in zones of 12 hosts or fewer), one of another zone.

--- a/crates/rail_member/src/lib.rs
+++ b/crates/rail_member/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod members;
 pub mod outage;
 pub mod packed;
+pub mod partners;
 pub mod phase;
 pub mod refresh;
 pub mod replica;
--- a/crates/tarragon_node/src/peers.rs
+++ b/crates/tarragon_node/src/peers.rs
@@ -33,8 +33,6 @@
 const JOIN_PERIOD: Duration = Duration::from_millis(1500);
 /// Registered hosts that are contacted at once after a listing.
 const MAX_JOIN_CONTACTS: usize = 4;
-/// Random hosts that each heartbeat is sent to.
-const HEARTBEAT_FANOUT: usize = 2;
 /// Timeout of a heartbeat exchange.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Heartbeat intervals between two listings of the host records while other hosts are known.
@@ -260,10 +258,8 @@
         renew_own_heartbeat(&node);
         let now = node.now();
         let peers = {
-            let hosts = node.hosts.borrow();
-            let others = hosts.live(now).filter(|heartbeat| heartbeat.host != node.settings.host);
-            let peers = others.map(|heartbeat| heartbeat.peer_address);
-            peers.choose_multiple(&mut rand::rng(), HEARTBEAT_FANOUT)
+            let (hosts, settings) = (node.hosts.borrow(), &node.settings);
+            hosts.choose_partners(&settings.host, &settings.zone, now, &mut rand::rng())
         };
         for (index, peer) in peers.into_iter().enumerate() {
             let node = Rc::clone(&node);
