A host that starts after a return of the store waits before it claims engines (ORDERS)

Cause: ReturnGuard of a process that starts after the return knows of none, and claims at once an engine whose owner keeps it under its lease while the copy lacks its record: what wasn't heard of counted as not having happened. Change: the first era that a process sees, if the store has returned before, counts as a return just noticed; claims wait until every host has read the owners of that era, or for the longest lease.

--- a/crates/rail_lease/src/return_guard.rs
+++ b/crates/rail_lease/src/return_guard.rs
@@ -14,6 +14,9 @@
 use rail_revision::Era;
 use std::{collections::BTreeSet, time::Duration};
 
+/// Era of a store that has never returned from an older copy.
+const FIRST_ERA: Era = 0;
+
 /// Identity of a resource that one host owns.
 pub type OwnedResource = String;
 
@@ -66,8 +69,11 @@
         now: Duration,
     ) -> bool {
         let is_return = self.era.is_some_and(|known| era > known);
-        if is_return {
-            let kept = owned.into_iter().collect();
+        // A store that has returned before may have done so just before the start of this process,
+        // which owns nothing yet.
+        let is_earlier_return = self.era.is_none() && era > FIRST_ERA;
+        if is_return || is_earlier_return {
+            let kept = owned.into_iter().filter(|_| is_return).collect();
             self.last_return = Some(Return { noticed_at: now, all_noticed_at: None, kept });
         }
         self.era = self.era.max(Some(era));
--- a/crates/rail_lease/tests/return_guard.rs
+++ b/crates/rail_lease/tests/return_guard.rs
@@ -76,3 +76,21 @@
         .quickcheck(grows as fn((u8, u8), (u32, u32)) -> bool);
     assert_eq!(Revision::new(0, 41).fence(), 41);
 }
+
+/// Guards against a host that starts after the store's return and claims at once what its owner, whose
+/// record the copy lacks, keeps under its lease (soak seeds 5308 to 5310).
+#[test]
+fn a_host_that_starts_after_the_stores_return_waits_before_it_claims() {
+    let mut starting = ReturnGuard::new(TTL, ORDER_DELAY);
+    assert!(!starting.record_era(1, [], ms(100)), "it can't have noticed the return");
+    assert!(!starting.may_claim("engine", ms(110)), "the owner may keep it");
+    starting.record_all_noticed(ms(500));
+    let orders_stopped_at = ms(500) + ORDERS_STOPPED;
+    assert!(!starting.may_claim("engine", orders_stopped_at - ms(1)), "orders are on their way");
+    assert!(starting.may_claim("engine", orders_stopped_at), "no host acts under older records");
+}
+
+#[test]
+fn a_store_that_never_returned_delays_no_claim() {
+    assert!(guard().may_claim("engine", ms(100)));
+}
