Prompt parts that an engine keeps cost no reading in its owner's estimates

Cause: an owner counted the whole prompt (X-Prompt-Prefix lists parts that engines keep for an adapter), so digests of 6,300 shared and 2,890 own tokens waited for 0.3 s of reading that may not be needed.

--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -197,6 +197,8 @@
     pub max_event_gap_ms: Option<u32>,
     /// Time after which the first event is late, in milliseconds.
     pub late_in_ms: u32,
+    /// Hashes and lengths in tokens of the leading parts of the prompt that other requests may share.
+    pub shared_parts: Vec<(u64, u32)>,
 }
 
 /// One item of a feed of the store's records.
--- a/crates/rail_place/src/lib.rs
+++ b/crates/rail_place/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod backoff;
 pub mod demand;
 pub mod error;
+pub mod kept;
 pub mod objective;
 pub mod owner;
 pub mod pace;
@@ -36,6 +37,7 @@
         backoff::Backoff,
         demand::Demand,
         error::{Error, Result},
+        kept::{KeptParts, SharedPart},
         objective::{InvalidWeights, Objective},
         owner::{
             EngineOwner, GrantOutcome, OrderKind, OrderResult, OwnerCommand, OwnerReport, StartId,
--- a/crates/rail_place/src/owner/message.rs
+++ b/crates/rail_place/src/owner/message.rs
@@ -1,6 +1,6 @@
 //! Inputs and commands of the owner of an engine.
 
-use crate::pace::Prompt;
+use crate::kept::SharedPart;
 use std::time::Duration;
 
 /// Identifies a request at the owner; assigned by the caller.
@@ -21,6 +21,8 @@
     pub priority: u8,
     /// Length of the prompt in tokens.
     pub prompt_tokens: u32,
+    /// Leading parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<SharedPart>,
     /// Longest pause between two events for which the answer is in time; `None` if any is.
     pub max_event_gap: Option<Duration>,
     /// Longest estimated wait with which the request is queued; otherwise it is refused at once.
@@ -39,8 +41,9 @@
         self.adapter.as_ref().map(|adapter| format!("{}/{adapter}", self.model))
     }
 
-    pub(super) fn prompt(&self) -> Prompt {
-        Prompt { tokens: self.prompt_tokens, max_event_gap: self.max_event_gap }
+    /// Returns the name under which the engine keeps parts of the prompt.
+    pub(super) fn kept_path(&self) -> AdapterPath {
+        self.path().unwrap_or_else(|| self.model.clone())
     }
 }
 
--- a/crates/rail_place/src/owner/mod.rs
+++ b/crates/rail_place/src/owner/mod.rs
@@ -16,7 +16,10 @@
     OwnerCounts, OwnerReport, StartId, StartRequest,
 };
 
-use crate::pace::{PromptPacer, StreamTiming};
+use crate::{
+    kept::KeptParts,
+    pace::{PromptPacer, StreamTiming},
+};
 use adapter::{AdapterEntry, LoadState, Occupancy};
 use estimate::SLOT_WAIT_ESTIMATE;
 use std::{
@@ -65,6 +68,8 @@
     recent: HashMap<AdapterPath, Duration>,
     granted: HashMap<StartId, Option<AdapterPath>>,
     pacer: PromptPacer,
+    /// Parts of prompts that the engine need not read again.
+    kept: KeptParts,
     /// When the engine may read the next prompt, if one waits only for that.
     reads_at: Option<Duration>,
     waiting: BTreeMap<StartId, WaitingRequest>,
@@ -105,6 +110,7 @@
             recent: HashMap::new(),
             granted: HashMap::new(),
             pacer: PromptPacer::default(),
+            kept: KeptParts::default(),
             reads_at: None,
             waiting: BTreeMap::new(),
             announced: HashMap::new(),
@@ -308,6 +314,7 @@
         self.has_unanswered_copy = false;
         self.changed_at = Duration::ZERO;
         self.pacer.reset();
+        self.kept.clear();
     }
 
     /// Returns the commands that are due now; orders only if `may_order` is set.
@@ -513,13 +520,8 @@
             if self.granted.len() >= self.slots as usize {
                 return;
             }
-            let Some((path, prompt)) = self
-                .waiting
-                .get(&id)
-                .map(|waiting| (waiting.request.path(), waiting.request.prompt()))
-            else {
-                continue;
-            };
+            let Some(waiting) = self.waiting.get(&id) else { continue };
+            let (path, prompt) = (waiting.request.path(), self.prompt(&waiting.request, now));
             if let Some(path) = &path {
                 self.ensure_load_if_absent(path, now);
                 if !self.is_usable(path) {
@@ -531,7 +533,9 @@
                 return;
             }
             let version = path.as_deref().and_then(|path| self.use_adapter(path, now));
-            self.waiting.remove(&id);
+            if let Some(WaitingRequest { request, .. }) = self.waiting.remove(&id) {
+                self.kept.record(&request.kept_path(), &request.shared_parts, now);
+            }
             self.pacer.start(id, prompt, now);
             self.granted.insert(id, path);
             commands.push(OwnerCommand::Grant(id, version));
--- a/crates/rail_place/src/owner/orders.rs
+++ b/crates/rail_place/src/owner/orders.rs
@@ -150,6 +150,8 @@
         match order {
             OrderKind::LoadModel(_) => self.report_at = now + REPORT_INTERVAL,
             OrderKind::Load(path, _) => {
+                // Parts that were read for other weights aren't used.
+                self.kept.forget(&path);
                 if let Some(entry) = self.adapters.get_mut(&path) {
                     let estimate = if entry.was_recent {
                         &mut self.recent_load_estimate
--- a/crates/rail_place/tests/engine_room.rs
+++ b/crates/rail_place/tests/engine_room.rs
@@ -276,6 +276,7 @@
             adapter: Some(adapter),
             priority: 0,
             prompt_tokens: 100,
+            shared_parts: Vec::new(),
             max_event_gap: None,
             max_estimated_wait: ms(3_000),
             start_deadline: now + ms(3_000),
--- a/crates/rail_place/tests/owner.rs
+++ b/crates/rail_place/tests/owner.rs
@@ -39,6 +39,7 @@
         adapter: Some(adapter.to_owned()),
         priority: 0,
         prompt_tokens: 500,
+        shared_parts: Vec::new(),
         max_event_gap: None,
         max_estimated_wait: ms(10_000),
         start_deadline,
--- a/crates/rail_place/tests/pace.rs
+++ b/crates/rail_place/tests/pace.rs
@@ -2,8 +2,8 @@
 //! between the tokens of the streams that run there.
 
 use rail_place::{
-    EngineOwner, GrantOutcome, OwnerCommand, OwnerReport, Prompt, PromptPacer, ReadingSpeed,
-    StartRequest, StreamTiming,
+    EngineOwner, GrantOutcome, KeptParts, OwnerCommand, OwnerReport, Prompt, PromptPacer,
+    ReadingSpeed, SharedPart, StartRequest, StreamTiming,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -149,6 +149,7 @@
                 adapter: None,
                 priority: 1,
                 prompt_tokens: tokens,
+                shared_parts: Vec::new(),
                 max_event_gap,
                 max_estimated_wait: max_wait,
                 start_deadline: next_at + max_wait,
@@ -287,3 +288,47 @@
         assert!(error < 0.2, "{learned} of {tokens_per_s} tokens per second");
     }
 }
+
+/// Guards against prompts that wait, or hold up others by the estimate, for parts that the engine keeps.
+#[test]
+fn parts_that_the_engine_keeps_cost_no_reading() {
+    let mut kept = KeptParts::default();
+    let part = |key| SharedPart { key, tokens: 3_000 };
+    kept.record("m/a", &[part(1), part(2)], ms(1_000));
+    let later = ms(2_000);
+    assert_eq!(kept.kept_tokens("m/a", &[part(1), part(2), part(3)], later), 6_000);
+    assert_eq!(kept.kept_tokens("m/a", &[part(1), part(9)], later), 3_000);
+    assert_eq!(kept.kept_tokens("m/a", &[part(2)], later), 0, "all parts before it differ");
+    assert_eq!(kept.kept_tokens("m/b", &[part(1)], later), 0, "read for another adapter");
+    assert_eq!(kept.kept_tokens("m/a", &[part(1)], ms(60_000)), 0, "not used for long");
+    kept.forget("m/a");
+    assert_eq!(kept.kept_tokens("m/a", &[part(1)], later), 0);
+}
+
+#[test]
+fn a_prompt_whose_parts_are_kept_starts_beside_running_streams() {
+    let mut owner = EngineOwner::new(8, 4, ms(5_000));
+    owner.poll(ms(0), true);
+    let report = OwnerReport { models: vec!["m".to_owned()], ..OwnerReport::default() };
+    owner.apply_report(&report, ms(0), ms(1));
+    let request = |id, now| StartRequest {
+        id,
+        model: "m".to_owned(),
+        adapter: None,
+        priority: 1,
+        prompt_tokens: 9_190,
+        shared_parts: vec![SharedPart { key: 1, tokens: 8_900 }],
+        max_event_gap: Some(MAX_GAP),
+        max_estimated_wait: ms(5_000),
+        start_deadline: now + ms(5_000),
+        late_at: now + TARGET_LATENCY,
+        max_backlog: ms(5_000),
+    };
+    owner.request_start(request(1, ms(10)), ms(10)).expect("the engine is idle");
+    assert_eq!(owner.poll(ms(10), true), [OwnerCommand::Grant(1, None)]);
+    // The first prompt has been read by then, and a second one as long would have to be read alone.
+    let now = ms(900);
+    owner.request_start(request(2, now), now).expect("little is left to read");
+    owner.request_start(request(3, now), now).expect("little is left to read");
+    assert_eq!(owner.poll(now, true).len(), 2, "both are read within one pause");
+}
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -119,7 +119,7 @@
     };
     let fingerprint = fingerprint(&method, &host, &target, &body);
     let prompt_parts = parsed_headers.shared_prompt_parts.iter();
-    let part_keys = prompt_parts.map(|id| QuarantineKey::prompt_part(id));
+    let part_keys = prompt_parts.map(|part| QuarantineKey::prompt_part(&part.id));
     let quarantine_keys = std::iter::once(fingerprint.into()).chain(part_keys).collect();
     let is_engine = routes.services.get(&service).is_some_and(|service| service.engine.is_some());
     let is_http10 = request.head().version < actix_http::Version::HTTP_11;
--- a/crates/tarragon_node/src/engine_grants.rs
+++ b/crates/tarragon_node/src/engine_grants.rs
@@ -14,6 +14,7 @@
     sync::Arc,
     time::{Duration, Instant},
 };
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Most engines whose owners are asked for a grant for one request.
 const MAX_PREFERRED_ENGINES: usize = 8;
@@ -182,6 +183,7 @@
         max_estimated_wait_ms: wait_limits.estimated_wait.as_millis() as u32,
         wait_ms: wait_limits.actual_wait.as_millis() as u32,
         max_backlog_ms: wait_limits.backlog.as_millis() as u32,
+        shared_parts: shared_parts(request),
         late_in_ms: time_until_late.as_millis() as u32,
         max_event_gap_ms: request.route.max_event_gap.map(|gap| gap.as_millis() as u32),
     };
@@ -207,6 +209,12 @@
     Ok((Grant::Remote(grant), version))
 }
 
+/// Returns the hashes and lengths of the leading parts of a prompt that other requests may share.
+fn shared_parts(request: &CallerRequest) -> Vec<(u64, u32)> {
+    let parts = request.parsed_headers.shared_prompt_parts.iter();
+    parts.map(|part| (xxh3_64(part.id.as_bytes()), part.tokens)).collect()
+}
+
 /// Returns the usable engines in the rendezvous order of the request's adapter, the most preferred
 /// first.
 fn preferred_engines(
--- a/crates/tarragon_node/src/engines.rs
+++ b/crates/tarragon_node/src/engines.rs
@@ -6,9 +6,12 @@
     node::{Node, SharedNode},
 };
 use rail_peer::{GrantRelease, GrantRequest};
-use rail_place::owner::{
-    AdapterStatus, EngineOwner, GrantOutcome, OrderKind, OrderResult, OwnerCommand, OwnerReport,
-    StartId, StartRequest,
+use rail_place::{
+    SharedPart,
+    owner::{
+        AdapterStatus, EngineOwner, GrantOutcome, OrderKind, OrderResult, OwnerCommand,
+        OwnerReport, StartId, StartRequest,
+    },
 };
 use rail_route::{Upstream, UpstreamId};
 use rail_site::engine::{
@@ -140,6 +143,11 @@
             adapter: call.adapter.clone(),
             priority: call.priority,
             prompt_tokens: call.prompt_tokens,
+            shared_parts: call
+                .shared_parts
+                .iter()
+                .map(|(key, tokens)| SharedPart { key: *key, tokens: *tokens })
+                .collect(),
             max_event_gap: call.max_event_gap_ms.map(|gap_ms| Duration::from_millis(gap_ms.into())),
             max_estimated_wait: Duration::from_millis(u64::from(call.max_estimated_wait_ms)),
             start_deadline: now + Duration::from_millis(u64::from(call.wait_ms)),
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -95,7 +95,7 @@
         is_trial: bool,
         /// Parts of the prompt that other requests may share.
         #[serde(skip_serializing_if = "<[_]>::is_empty")]
-        prompt_parts: &'a [String],
+        prompt_parts: &'a [&'a str],
         /// Time for which the run had been answering.
         #[serde(skip_serializing_if = "Option::is_none")]
         answering_ms: Option<u64>,
--- a/crates/tarragon_node/src/lost_runs.rs
+++ b/crates/tarragon_node/src/lost_runs.rs
@@ -111,13 +111,15 @@
     sign: &'static str,
 ) {
     node.metrics.lost_runs.count(sign);
+    let prompt_parts = request.parsed_headers.shared_prompt_parts.iter();
+    let prompt_parts: Vec<&str> = prompt_parts.map(|part| part.id.as_str()).collect();
     node.events.important(&Event::RunLost {
         request: &request.parsed_headers.request_id,
         fingerprint: request.fingerprint,
         upstream: &upstream.id,
         sign,
         is_trial,
-        prompt_parts: &request.parsed_headers.shared_prompt_parts,
+        prompt_parts: &prompt_parts,
         answering_ms: request.answering_time().map(|time| time.as_millis() as u64),
     });
 }
