A request is refused at an engine where it would be late, while others may serve it in time

Change: in the first round an owner refuses at once what it would serve late by its own estimate of wait and reading; the second round, and a request that is late already, may be queued. Test: a_request_that_would_be_late_is_refused_while_other_engines_may_serve_it.

--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -197,6 +197,8 @@
     pub max_event_gap_ms: Option<u32>,
     /// Time after which the first event is late, in milliseconds.
     pub late_in_ms: u32,
+    /// Whether the request is queued although its first event would be late.
+    pub may_be_late: bool,
     /// Hashes and lengths in tokens of the leading parts of the prompt that other requests may share.
     pub shared_parts: Vec<(u64, u32)>,
 }
--- a/crates/rail_place/src/owner/grants.rs
+++ b/crates/rail_place/src/owner/grants.rs
@@ -37,6 +37,17 @@
         self.pacer.read_until().saturating_sub(now) + self.pacer.paced_time(tokens)
     }
 
+    /// Returns whether the first event of a request would be late if its prompt is read after a wait.
+    pub(super) fn would_be_late(
+        &self,
+        request: &StartRequest,
+        wait: Duration,
+        now: Duration,
+    ) -> bool {
+        let reading_time = self.pacer.reading_time(self.prompt(request, now).tokens);
+        now + wait + reading_time > request.late_at
+    }
+
     /// Returns what the engine has to read for a request, without the parts that it keeps.
     pub(super) fn prompt(&self, request: &StartRequest, now: Duration) -> Prompt {
         let kept_tokens = self.kept.kept_tokens(&request.kept_path(), &request.shared_parts, now);
--- a/crates/rail_place/src/owner/message.rs
+++ b/crates/rail_place/src/owner/message.rs
@@ -31,6 +31,9 @@
     pub start_deadline: Duration,
     /// Time of the first event from which on the answer is late.
     pub late_at: Duration,
+    /// Whether the request is queued although its first event would be late; otherwise it is refused
+    /// at once, as another engine may serve it in time.
+    pub may_be_late: bool,
     /// Longest estimated time until the engine reads the prompt; otherwise the request is refused at
     /// once.
     pub max_backlog: Duration,
--- a/crates/rail_place/src/owner/mod.rs
+++ b/crates/rail_place/src/owner/mod.rs
@@ -185,6 +185,7 @@
         if wait > request.max_estimated_wait
             || now + wait > request.start_deadline
             || backlog > request.max_backlog
+            || (!request.may_be_late && self.would_be_late(&request, wait.max(backlog), now))
         {
             return Err(wait + backlog);
         }
--- a/crates/rail_place/tests/engine_room.rs
+++ b/crates/rail_place/tests/engine_room.rs
@@ -281,6 +281,7 @@
             max_estimated_wait: ms(3_000),
             start_deadline: now + ms(3_000),
             late_at: Duration::MAX,
+            may_be_late: true,
             max_backlog: ms(3_000),
         };
         let _refused = self.owner.request_start(request, now);
--- a/crates/rail_place/tests/owner.rs
+++ b/crates/rail_place/tests/owner.rs
@@ -44,6 +44,7 @@
         max_estimated_wait: ms(10_000),
         start_deadline,
         late_at: Duration::MAX,
+        may_be_late: true,
         max_backlog: ms(10_000),
     }
 }
--- a/crates/rail_place/tests/pace.rs
+++ b/crates/rail_place/tests/pace.rs
@@ -153,6 +153,7 @@
                 max_event_gap,
                 max_estimated_wait: max_wait,
                 start_deadline: next_at + max_wait,
+                may_be_late: true,
                 late_at: if tells_lateness { next_at + TARGET_LATENCY } else { Duration::MAX },
                 max_backlog: max_wait,
             };
@@ -322,6 +323,7 @@
         max_estimated_wait: ms(5_000),
         start_deadline: now + ms(5_000),
         late_at: now + TARGET_LATENCY,
+        may_be_late: true,
         max_backlog: ms(5_000),
     };
     owner.request_start(request(1, ms(10)), ms(10)).expect("the engine is idle");
@@ -332,3 +334,32 @@
     owner.request_start(request(3, now), now).expect("little is left to read");
     assert_eq!(owner.poll(now, true).len(), 2, "both are read within one pause");
 }
+
+/// Guards against a long prompt that waits at the preferred engine until it is late, while another one
+/// could read it in time.
+#[test]
+fn a_request_that_would_be_late_is_refused_while_other_engines_may_serve_it() {
+    let mut owner = EngineOwner::new(8, 4, ms(5_000));
+    owner.poll(ms(0), true);
+    let report = OwnerReport { models: vec!["m".to_owned()], ..OwnerReport::default() };
+    owner.apply_report(&report, ms(0), ms(1));
+    let request = |id, prompt_tokens, may_be_late| StartRequest {
+        id,
+        model: "m".to_owned(),
+        adapter: None,
+        priority: 1,
+        prompt_tokens,
+        shared_parts: Vec::new(),
+        max_event_gap: Some(MAX_GAP),
+        max_estimated_wait: ms(5_000),
+        start_deadline: ms(5_000),
+        late_at: ms(10) + TARGET_LATENCY,
+        may_be_late,
+        max_backlog: ms(5_000),
+    };
+    owner.request_start(request(1, 9_190, false), ms(10)).expect("the engine is idle");
+    owner.poll(ms(10), true);
+    assert!(owner.request_start(request(2, 9_190, false), ms(11)).is_err());
+    owner.request_start(request(3, 500, false), ms(11)).expect("a short prompt is in time");
+    owner.request_start(request(4, 9_190, true), ms(12)).expect("no engine is free");
+}
--- a/crates/tarragon_node/src/engine_grants.rs
+++ b/crates/tarragon_node/src/engine_grants.rs
@@ -102,6 +102,7 @@
             estimated_wait: FIRST_ROUND_MAX_ESTIMATE,
             actual_wait: wait_deadline.saturating_duration_since(Instant::now()),
             backlog: target.mul_f64(FIRST_ROUND_BACKLOG_SHARE),
+            may_be_late: false,
         };
         match request_grant(node, request, engine, wait_limits).await {
             Ok((grant, version)) => {
@@ -128,6 +129,7 @@
             estimated_wait: max_wait,
             actual_wait: max_wait,
             backlog: max_wait * SECOND_ROUND_BACKLOG_FACTOR,
+            may_be_late: true,
         };
         match request_grant(node, request, engine, wait_limits).await {
             Ok((grant, version)) => return Ok((Arc::clone(engine), grant, version)),
@@ -162,6 +164,8 @@
     actual_wait: Duration,
     /// Longest estimated time of the prompts ahead of it.
     backlog: Duration,
+    /// Whether it may be queued although its first event would be late.
+    may_be_late: bool,
 }
 
 /// Asks the owner of an engine for a grant: this host itself or the host named in the owner record.
@@ -184,6 +188,7 @@
         wait_ms: wait_limits.actual_wait.as_millis() as u32,
         max_backlog_ms: wait_limits.backlog.as_millis() as u32,
         shared_parts: shared_parts(request),
+        may_be_late: wait_limits.may_be_late || time_until_late.is_zero(),
         late_in_ms: time_until_late.as_millis() as u32,
         max_event_gap_ms: request.route.max_event_gap.map(|gap| gap.as_millis() as u32),
     };
--- a/crates/tarragon_node/src/engines.rs
+++ b/crates/tarragon_node/src/engines.rs
@@ -135,6 +135,7 @@
             max_event_gap: call.max_event_gap_ms.map(|gap_ms| Duration::from_millis(gap_ms.into())),
             max_estimated_wait: Duration::from_millis(u64::from(call.max_estimated_wait_ms)),
             start_deadline: now + Duration::from_millis(u64::from(call.wait_ms)),
+            may_be_late: call.may_be_late,
             late_at: now + Duration::from_millis(u64::from(call.late_in_ms)),
             max_backlog: Duration::from_millis(u64::from(call.max_backlog_ms)),
         };
