--- a/review/stage/engine.rs
+++ b/review/stage/engine.rs
@@ -8,7 +8,7 @@
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -18,6 +18,12 @@
 pub const MODEL: &str = "m0";
 /// Time that an adapter takes to load.
 const LOAD_TIME: Duration = Duration::from_millis(250);
+/// Time after which an order that was left unanswered is carried out.
+const LATE: Duration = Duration::from_secs(10);
+/// Time for which a server is down that was ordered to load too much.
+const CRASH_TIME: Duration = Duration::from_secs(3);
+/// Time that a long request takes.
+pub const LONG_WORK: Duration = Duration::from_secs(7);
 
 /// An order as it arrived.
 #[derive(Debug, Clone)]
@@ -29,6 +35,17 @@
 
 #[derive(Default)]
 struct State {
+    /// Adapter slots; 0 for any number.
+    slots: usize,
+    /// Adapters of which the next order is left unanswered and carried out late.
+    late_adapters: BTreeSet<String>,
+    /// Loads that were accepted beyond the slots.
+    overruns: usize,
+    /// Number of the current start.
+    start: u64,
+    born: u64,
+    down_until: Option<Instant>,
+    connections: Vec<TcpStream>,
     accepted: u64,
     /// Requests that run, by adapter.
     running: BTreeMap<String, usize>,
@@ -44,7 +61,6 @@
     pub id: String,
     address: SocketAddr,
     zone: String,
-    born: u64,
     /// Time that a request takes.
     work: Duration,
     state: Arc<Mutex<State>>,
@@ -65,26 +81,23 @@
             id: id.to_owned(),
             address,
             zone: zone.to_owned(),
-            born: unix_ms(),
             work,
             state: Arc::default(),
             record: record.clone(),
         };
+        engine.state.lock().unwrap().born = unix_ms();
         let (registering, store) = (engine.clone(), store.clone());
         thread::spawn(move || {
             loop {
-                store.put("servers", &registering.id, &registering.entry());
+                // A server that is down sends nothing.
+                if !registering.is_down() {
+                    store.put("servers", &registering.id, &registering.entry());
+                }
                 thread::sleep(Duration::from_millis(400));
             }
         });
-        let listener = TcpListener::bind(address).expect("a free address");
         let serving = engine.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let engine = serving.clone();
-                thread::spawn(move || engine.serve(stream));
-            }
-        });
+        thread::spawn(move || serving.listen());
         engine
     }
 
@@ -93,8 +106,79 @@
         self.state.lock().unwrap().orders.clone()
     }
 
+    /// Sets the adapter slots.
+    pub fn limit_slots(&self, slots: usize) {
+        self.state.lock().unwrap().slots = slots;
+    }
+
+    /// Leaves the next order for each of these adapters unanswered and carries it out late.
+    pub fn carry_out_late(&self, adapters: &[&str]) {
+        let adapters = adapters.iter().map(ToString::to_string);
+        self.state.lock().unwrap().late_adapters = adapters.collect();
+    }
+
+    /// Returns the loads beyond the adapter slots that were carried out.
+    pub fn overruns(&self) -> usize {
+        self.state.lock().unwrap().overruns
+    }
+
+    /// Returns how many orders were accepted since the start, and the adapters.
+    pub fn holds(&self) -> (u64, Vec<String>) {
+        let state = self.state.lock().unwrap();
+        (state.accepted, state.adapters.keys().cloned().collect())
+    }
+
+    /// Crashes, and starts again under the same id after some time, with nothing loaded.
+    pub fn crash(&self, down: Duration) {
+        let mut state = self.state.lock().unwrap();
+        let running: usize = state.running.values().sum();
+        self.record.line(&format!("server {} crashes; {running} requests run there", self.id));
+        state.start += 1;
+        state.born = unix_ms() + down.as_millis() as u64;
+        state.down_until = Some(Instant::now() + down);
+        state.accepted = 0;
+        state.adapters.clear();
+        state.running.clear();
+        state.unloading.clear();
+        for connection in state.connections.drain(..) {
+            let _ignored = connection.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn is_down(&self) -> bool {
+        self.state.lock().unwrap().down_until.is_some_and(|until| Instant::now() < until)
+    }
+
+    fn listen(&self) {
+        loop {
+            if self.is_down() {
+                thread::sleep(Duration::from_millis(20));
+                continue;
+            }
+            let Ok(listener) = TcpListener::bind(self.address) else {
+                thread::sleep(Duration::from_millis(20));
+                continue;
+            };
+            let _ignored = listener.set_nonblocking(true);
+            while !self.is_down() {
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let _ignored = stream.set_nonblocking(false);
+                        if let Ok(copy) = stream.try_clone() {
+                            self.state.lock().unwrap().connections.push(copy);
+                        }
+                        let engine = self.clone();
+                        thread::spawn(move || engine.serve(stream));
+                    }
+                    Err(_) => thread::sleep(Duration::from_millis(1)),
+                }
+            }
+        }
+    }
+
     fn entry(&self) -> Json {
-        let (address, zone, born) = (self.address, &self.zone, self.born);
+        let (address, zone) = (self.address, &self.zone);
+        let born = self.state.lock().unwrap().born;
         let text = format!(
             "{{\"Service\":\"models\",\"Address\":\"{address}\",\"Zone\":\"{zone}\",\"Version\":\"v1\",\
              \"Slots\":64,\"State\":\"ready\",\"ColdLeftMs\":0,\"Seq\":0,\"born\":{born},\
@@ -136,7 +220,7 @@
             held.join(","),
             state.accepted,
             coming.join(","),
-            self.born
+            state.born
         );
         drop(state);
         connection.answer("200 OK", "Content-Type: application/json\r\n", body.as_bytes())
@@ -151,37 +235,78 @@
         let number = |name: &str| order.get(name).and_then(Json::number);
         let (holder, fence) = (text("Holder"), number("Fence").unwrap_or(0));
         let adapter = text("Adapter");
-        let mut state = self.state.lock().unwrap();
-        state.orders.push(Order { at: Instant::now(), holder: holder.clone(), fence });
-        let status = if number("Expect").is_some_and(|expected| expected != state.accepted) {
-            "409 Conflict"
-        } else if text("Op") == "load" {
-            if state.adapters.contains_key(&adapter) {
-                "200 OK"
-            } else {
-                state.accepted += 1;
-                state.adapters.insert(adapter.clone(), Instant::now() + LOAD_TIME);
-                "202 Accepted"
-            }
-        } else {
-            state.accepted += 1;
-            if state.running.get(&adapter).is_some_and(|count| *count > 0) {
-                state.unloading.insert(adapter.clone());
-                "202 Accepted"
-            } else {
-                state.adapters.remove(&adapter);
-                "200 OK"
-            }
+        let (op, expected) = (text("Op"), number("Expect"));
+        let is_late = {
+            let mut state = self.state.lock().unwrap();
+            state.orders.push(Order { at: Instant::now(), holder: holder.clone(), fence });
+            state.late_adapters.remove(&adapter)
         };
-        drop(state);
+        if is_late {
+            let expect = expected.unwrap_or(0);
+            self.record.line(&format!(
+                "server {} leaves the order to {op} {adapter} with Expect {expect} unanswered",
+                self.id
+            ));
+            let engine = self.clone();
+            thread::spawn(move || {
+                thread::sleep(LATE);
+                let status = engine.carry_out(&op, &adapter, expected);
+                engine.record.line(&format!(
+                    "server {} now carries out the order to {op} {adapter} with Expect {expect}: {status}",
+                    engine.id
+                ));
+                engine.crash_if_overfilled();
+            });
+            thread::sleep(Duration::from_secs(1));
+            return Err(std::io::ErrorKind::TimedOut.into());
+        }
+        let status = self.carry_out(&op, &adapter, expected);
         self.record.line(&format!(
-            "server {} gets the order to {} {adapter} from {holder} with fence {fence}: {status}",
+            "server {} gets the order to {op} {adapter} from {holder} with fence {fence}, Expect {}: {status}",
             self.id,
-            text("Op")
+            expected.unwrap_or(0)
         ));
+        self.crash_if_overfilled();
         connection.answer(status, "Content-Type: application/json\r\n", b"{}")
     }
 
+    fn carry_out(&self, op: &str, adapter: &str, expected: Option<u64>) -> &'static str {
+        let mut state = self.state.lock().unwrap();
+        if expected.is_some_and(|expected| expected != state.accepted) {
+            return "409 Conflict";
+        }
+        let is_held = state.adapters.contains_key(adapter);
+        if (op == "load") == is_held {
+            return "200 OK";
+        }
+        state.accepted += 1;
+        if op == "load" {
+            state.adapters.insert(adapter.to_owned(), Instant::now() + LOAD_TIME);
+            return "202 Accepted";
+        }
+        if state.running.get(adapter).is_some_and(|count| *count > 0) {
+            state.unloading.insert(adapter.to_owned());
+            return "202 Accepted";
+        }
+        state.adapters.remove(adapter);
+        "200 OK"
+    }
+
+    /// Crashes if it was ordered to load more adapters than it has places.
+    fn crash_if_overfilled(&self) {
+        let count = {
+            let mut state = self.state.lock().unwrap();
+            let count = state.adapters.len();
+            if state.slots == 0 || count <= state.slots {
+                return;
+            }
+            state.overruns += 1;
+            count
+        };
+        self.record.line(&format!("server {} was ordered to hold {count} adapters", self.id));
+        self.crash(CRASH_TIME);
+    }
+
     fn run(&self, connection: &mut Connection, head: &Head) -> std::io::Result<()> {
         let request = head.get("x-request-id").unwrap_or_default();
         let headers = format!("X-Request-Id: {request}\r\nX-Instance-Id: {}\r\n", self.id);
@@ -200,9 +325,13 @@
             }
             *state.running.entry(adapter.to_owned()).or_default() += 1;
         }
-        thread::sleep(self.work);
+        let start = self.state.lock().unwrap().start;
+        thread::sleep(if head.word(1).ends_with("/long") { LONG_WORK } else { self.work });
         {
             let mut state = self.state.lock().unwrap();
+            if state.start != start {
+                return Err(std::io::ErrorKind::ConnectionReset.into());
+            }
             let count = state.running.entry(adapter.to_owned()).or_default();
             *count -= 1;
             if *count == 0 && state.unloading.remove(adapter) {
--- a/review/stage/main.rs
+++ b/review/stage/main.rs
@@ -5,6 +5,7 @@
 
 mod case_brittle;
 mod case_gone;
+mod case_late;
 mod case_limit;
 mod case_owner;
 mod case_stop;
@@ -42,6 +43,7 @@
         "brittle" => case_brittle::play(&record, has_trouble),
         "gone" => case_gone::play(&record, has_trouble),
         "owner" => case_owner::play(&record, has_trouble),
+        "late" => case_late::play(&record, has_trouble),
         "stop" => case_stop::play(&record, has_trouble),
         _ => Verdict::NotRun,
     };
