--- a/review/stage/case_late.rs
+++ b/review/stage/case_late.rs
@@ -66,7 +66,7 @@
     }
     let begun_at = Instant::now();
     if has_trouble {
-        record.say("model-1 leaves two orders unanswered, and carries them out 10 s later");
+        record.say("model-1 leaves two orders unanswered, and carries them out 11.5 s later");
         server.carry_out_late(&[ADAPTERS[0], FURTHER_ADAPTER]);
     }
     ask(address, record, FURTHER_ADAPTER, "x");
@@ -82,11 +82,11 @@
             return Verdict::NotRun;
         }
     }
-    wait_until(begun_at, 8.5);
+    wait_until(begun_at, 9.5);
     // A request that runs while the orders come.
     let adapter = if has_trouble { ADAPTERS[0] } else { ADAPTERS[1] };
     let status = ask(address, record, adapter, "long");
-    wait_until(begun_at, 17.0);
+    wait_until(begun_at, 18.5);
     let overruns = server.overruns();
     record.say(&format!(
         "{overruns} loads beyond the {ADAPTER_SLOTS} places of model-1 were carried out; the request that ran there was answered {status}"
--- a/review/stage/engine.rs
+++ b/review/stage/engine.rs
@@ -19,7 +19,7 @@
 /// Time that an adapter takes to load.
 const LOAD_TIME: Duration = Duration::from_millis(250);
 /// Time after which an order that was left unanswered is carried out.
-const LATE: Duration = Duration::from_secs(10);
+const LATE: Duration = Duration::from_millis(11_500);
 /// Time for which a server is down that was ordered to load too much.
 const CRASH_TIME: Duration = Duration::from_secs(3);
 /// Time that a long request takes.
--- a/review/stage/main.rs
+++ b/review/stage/main.rs
@@ -7,6 +7,7 @@
 mod case_gone;
 mod case_late;
 mod case_limit;
+mod case_memory;
 mod case_owner;
 mod case_stop;
 mod engine;
@@ -44,6 +45,7 @@
         "gone" => case_gone::play(&record, has_trouble),
         "owner" => case_owner::play(&record, has_trouble),
         "late" => case_late::play(&record, has_trouble),
+        "memory" => case_memory::play(&record, has_trouble),
         "stop" => case_stop::play(&record, has_trouble),
         _ => Verdict::NotRun,
     };
--- a/review/stage/stage.rs
+++ b/review/stage/stage.rs
@@ -59,6 +59,8 @@
     pub hosts: Vec<Host>,
     /// Whether the store is silent towards each host, by the number of the host.
     pub gates: Vec<Gate>,
+    /// Highest memory of each host's processes in KiB, by the number of the host.
+    pub peaks_kib: [u64; 10],
     net: [u8; 2],
     folder: PathBuf,
     extra_settings: String,
@@ -89,6 +91,7 @@
                 record: record.clone(),
                 hosts: Vec::new(),
                 gates,
+                peaks_kib: [0; 10],
                 net,
                 folder,
                 extra_settings: String::new(),
@@ -212,6 +215,19 @@
         }
         ended
     }
+
+    /// Returns the memory of a host's process in KiB, and records its peak; 0 if it doesn't run.
+    pub fn memory_kib(&mut self, number: u8) -> u64 {
+        let host = self.hosts.iter().find(|host| host.number == number);
+        let Some(child) = host.and_then(|host| host.child.as_ref()) else { return 0 };
+        let text = fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let text = line.unwrap_or_default().trim().trim_end_matches("kB").trim();
+        let kib = text.parse().unwrap_or(0);
+        let peak = &mut self.peaks_kib[usize::from(number)];
+        *peak = kib.max(*peak);
+        kib
+    }
 }
 
 impl Drop for Stage {
