A host that starts after a return of the store doesn't take the hosts it knows for all (ONE)

Cause: after a return a host claims engines once "every host has read the new owners". A host that starts after the return counted the hosts that it had heard of, and the copy may lack one that orders under its lease and reaches neither the store nor the others. "Only host" for streams of several software versions follows the same rule.

--- a/crates/rail_lease/src/return_guard.rs
+++ b/crates/rail_lease/src/return_guard.rs
@@ -6,6 +6,10 @@
 //! It claims anything else once every host has read the new ownership records, or after the time in
 //! which every lease of before ends.
 //!
+//! The copy may lack hosts, too, so a process that starts after the return can't know which hosts
+//! there are. Only one that knew the hosts before the return can tell that all have read the records.
+//! It confirms that to the others.
+//!
 //! An ownership record names the era in which it was claimed. A process that restarts goes on with
 //! a record of the current era, and claims one of an earlier era again. All times are of a clock
 //! that includes the time for which the machine is suspended.
@@ -24,6 +28,8 @@
 #[derive(Debug, Clone)]
 struct Return {
     noticed_at: Duration,
+    /// Whether this process knew the hosts of the store before it returned.
+    knows_hosts: bool,
     /// Time by which every host had read the new ownership records, if that is known.
     all_noticed_at: Option<Duration>,
     /// Resources that this host owned under a valid lease at that time.
@@ -36,6 +42,7 @@
     era: Option<Era>,
     order_delay: Duration,
     lease_end: Duration,
+    has_listed_hosts: bool,
     last_return: Option<Return>,
 }
 
@@ -47,7 +54,7 @@
     pub fn new(ttl: Duration, order_delay: Duration) -> Self {
         let order_delay = order_delay + order_delay / CLOCK_DRIFT_DIVISOR;
         let lease_end = ttl + ttl / CLOCK_DRIFT_DIVISOR + order_delay;
-        Self { era: None, order_delay, lease_end, last_return: None }
+        Self { era: None, order_delay, lease_end, has_listed_hosts: false, last_return: None }
     }
 
     /// Returns the newest era that was seen.
@@ -74,7 +81,9 @@
         let is_earlier_return = self.era.is_none() && era > FIRST_ERA;
         if is_return || is_earlier_return {
             let kept = owned.into_iter().filter(|_| is_return).collect();
-            self.last_return = Some(Return { noticed_at: now, all_noticed_at: None, kept });
+            let knows_hosts = is_return && self.knows_hosts(now);
+            self.last_return =
+                Some(Return { noticed_at: now, knows_hosts, all_noticed_at: None, kept });
         }
         self.era = self.era.max(Some(era));
         is_return
@@ -85,15 +94,58 @@
     pub fn record_earlier_claim(&mut self, now: Duration) {
         self.last_return.get_or_insert_with(|| Return {
             noticed_at: now,
+            knows_hosts: false,
             all_noticed_at: None,
             kept: BTreeSet::new(),
         });
     }
 
-    /// Records that every host has read the ownership records of the newest era, so that none acts
-    /// under those of before.
-    pub fn record_all_noticed(&mut self, now: Duration) {
-        if let Some(last_return) = &mut self.last_return {
+    /// Records that this process has read from the store which hosts there are.
+    pub fn record_hosts_listed(&mut self) {
+        self.has_listed_hosts = true;
+    }
+
+    /// Returns whether the hosts that this process knows can be all that there are: none may be
+    /// missing from the store because of a return.
+    pub fn knows_hosts(&self, now: Duration) -> bool {
+        let knows_after = |last_return: &Return| {
+            let is_confirmed = last_return.all_noticed_at.is_some();
+            last_return.knows_hosts
+                || is_confirmed
+                || now >= last_return.noticed_at + self.lease_end
+        };
+        self.has_listed_hosts && self.last_return.as_ref().is_none_or(knows_after)
+    }
+
+    /// Records that every known host has read the ownership records of the newest era. If they are
+    /// all hosts, none acts under the records of before. A process that started after the return
+    /// can't know that, so nothing follows.
+    pub fn record_known_hosts_noticed(&mut self, now: Duration) {
+        if let Some(last_return) = self.last_return.as_mut().filter(|last| last.knows_hosts) {
+            last_return.all_noticed_at.get_or_insert(now);
+        }
+    }
+
+    /// Returns the newest era if this process knows that every host has read its ownership records,
+    /// which other hosts may not know.
+    pub fn confirmed_era(&self) -> Option<Era> {
+        let last_return = self.last_return.as_ref()?;
+        last_return.all_noticed_at.and(self.era)
+    }
+
+    /// Returns whether only another host can tell that every host has read the ownership records.
+    pub fn awaits_confirmation(&self, now: Duration) -> bool {
+        self.last_return.as_ref().is_some_and(|last_return| {
+            let has_ended = now >= last_return.noticed_at + self.lease_end;
+            !last_return.knows_hosts && last_return.all_noticed_at.is_none() && !has_ended
+        })
+    }
+
+    /// Records that another host has confirmed that every host has read the ownership records of an
+    /// era.
+    pub fn record_confirmation(&mut self, era: Era, now: Duration) {
+        let is_newest = era >= self.era();
+        if let Some(last_return) = self.last_return.as_mut().filter(|_| is_newest) {
             last_return.all_noticed_at.get_or_insert(now);
         }
     }
--- a/crates/rail_lease/tests/return_guard.rs
+++ b/crates/rail_lease/tests/return_guard.rs
@@ -18,6 +18,7 @@
 fn guard() -> ReturnGuard {
     let mut guard = ReturnGuard::new(TTL, ORDER_DELAY);
     guard.record_era(0, [], ms(0));
+    guard.record_hosts_listed();
     guard
 }
 
@@ -57,8 +58,9 @@
     assert!(!restarted.may_order("engine", 1));
     restarted.record_earlier_claim(ms(0));
     assert!(!restarted.may_claim("engine", ms(1_000)) && restarted.may_claim("engine", LEASE_END));
-    restarted.record_all_noticed(ms(2_000));
-    restarted.record_all_noticed(ms(4_000));
+    restarted.record_known_hosts_noticed(ms(1_000));
+    restarted.record_confirmation(2, ms(2_000));
+    restarted.record_confirmation(2, ms(4_000));
     assert!(!restarted.may_claim("engine", ms(1_999) + ORDERS_STOPPED));
     assert!(restarted.may_claim("engine", ms(2_000) + ORDERS_STOPPED));
 }
@@ -84,7 +86,7 @@
     let mut starting = ReturnGuard::new(TTL, ORDER_DELAY);
     assert!(!starting.record_era(1, [], ms(100)), "it can't have noticed the return");
     assert!(!starting.may_claim("engine", ms(110)), "the owner may keep it");
-    starting.record_all_noticed(ms(500));
+    starting.record_confirmation(1, ms(500));
     assert!(!starting.may_claim("engine", ms(499) + ORDERS_STOPPED), "orders are on their way");
     assert!(
         starting.may_claim("engine", ms(500) + ORDERS_STOPPED),
@@ -92,6 +94,53 @@
     );
 }
 
+/// Guards against hosts that start after the store's return and take those which they know for all,
+/// while an owner that the copy lacks is cut off from them (review/1).
+#[test]
+fn a_host_that_starts_after_the_return_takes_the_hosts_that_it_knows_for_all() {
+    let mut starting = ReturnGuard::new(TTL, ORDER_DELAY);
+    starting.record_era(1, [], ms(100));
+    starting.record_hosts_listed();
+    starting.record_known_hosts_noticed(ms(500));
+    assert!(!starting.may_claim("engine", ms(99) + LEASE_END), "a host may be missing");
+    assert!(starting.may_claim("engine", ms(100) + LEASE_END), "every lease of before has ended");
+    assert_eq!(starting.confirmed_era(), None, "it can't confirm what it doesn't know");
+}
+
+/// Guards against a confirmation of an earlier return, and one that survives in a copy.
+#[test]
+fn only_a_host_that_knew_the_hosts_before_the_return_confirms_it() {
+    let (mut witness, mut starting) = (guard(), ReturnGuard::new(TTL, ORDER_DELAY));
+    starting.record_era(2, [], ms(0));
+    assert!(starting.awaits_confirmation(ms(0)) && !starting.awaits_confirmation(LEASE_END));
+    starting.record_confirmation(1, ms(10));
+    assert!(starting.awaits_confirmation(ms(10)), "the store has returned again since");
+    assert!(witness.record_era(2, [], ms(0)));
+    assert_eq!(witness.confirmed_era(), None);
+    witness.record_known_hosts_noticed(ms(50));
+    assert_eq!(witness.confirmed_era(), Some(2));
+    starting.record_confirmation(2, ms(60));
+    assert!(!starting.awaits_confirmation(ms(60)) && !starting.knows_hosts(ms(60)), "not listed");
+    starting.record_hosts_listed();
+    assert!(starting.knows_hosts(ms(60)));
+}
+
+/// Guards against a process that notices a second return, but started after the first one.
+#[test]
+fn a_host_that_started_between_two_returns_waits_after_the_second_one() {
+    let mut starting = ReturnGuard::new(TTL, ORDER_DELAY);
+    starting.record_era(1, [], ms(0));
+    starting.record_hosts_listed();
+    assert!(starting.record_era(2, [], ms(1_000)));
+    starting.record_known_hosts_noticed(ms(1_500));
+    assert!(!starting.may_claim("engine", ms(999) + LEASE_END));
+    let mut unread = ReturnGuard::new(TTL, ORDER_DELAY);
+    unread.record_era(0, [], ms(0));
+    assert!(unread.record_era(1, [], ms(10)));
+    unread.record_known_hosts_noticed(ms(20));
+    assert!(!unread.may_claim("engine", ms(9) + LEASE_END), "it had not read the hosts of before");
+}
+
 #[test]
 fn a_store_that_never_returned_delays_no_claim() {
     assert!(guard().may_claim("engine", ms(100)));
--- a/crates/tarragon_node/src/lease.rs
+++ b/crates/tarragon_node/src/lease.rs
@@ -36,6 +36,8 @@
 const JOIN_PERIOD: Duration = Duration::from_millis(1500);
 /// Number of checks from one read of the silent hosts' leases to the next.
 const CHECKS_PER_OBSERVATION: u32 = 8;
+/// Number of checks from one exchange of confirmations of a return to the next.
+const CHECKS_PER_CONFIRMATION: u32 = 3;
 
 /// Spawns the task that renews the lease and acquires engines.
 pub fn spawn(node: &SharedNode) {
@@ -43,6 +45,7 @@
         node: Rc::clone(node),
         observer: LeaseObserver::new(LEASE_TTL, node.bounds().order_handover_delay),
         check_count: 0,
+        confirmed_era: None,
     };
     actix_rt::spawn(keeper.run());
 }
@@ -57,6 +60,8 @@
     node: SharedNode,
     observer: LeaseObserver,
     check_count: u32,
+    /// Newest era whose confirmation this process has stored.
+    confirmed_era: Option<Era>,
 }
 
 impl LeaseKeeper {
@@ -69,6 +74,9 @@
                 store_return::record_era(&self.node, self.node.store.era());
             }
             self.note_earlier_claims();
+            if self.check_count.is_multiple_of(CHECKS_PER_CONFIRMATION) {
+                store_return::exchange_confirmation(&self.node, &mut self.confirmed_era).await;
+            }
             if has_joined && !self.node.is_stopping.get() {
                 self.observe_silent_hosts().await;
                 self.acquire_engines(assigned).await;
@@ -233,7 +241,7 @@
             node.return_guard.borrow_mut().record_earlier_claim(time_since_boot());
         }
         if node.peers.have_all_read_owners(&node.hosts.borrow(), era) {
-            node.return_guard.borrow_mut().record_all_noticed(time_since_boot());
+            node.return_guard.borrow_mut().record_known_hosts_noticed(time_since_boot());
         }
     }
 
--- a/crates/tarragon_node/src/peers.rs
+++ b/crates/tarragon_node/src/peers.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     time::{Duration, Instant},
@@ -60,6 +60,8 @@
     heartbeat_count: Cell<u64>,
     /// Peer addresses from the store, for hosts without a heartbeat yet.
     registered: RefCell<HashMap<String, SocketAddr>>,
+    /// Hosts that were seen in heartbeats or as owners. The store may lose their records.
+    seen: RefCell<BTreeSet<String>>,
     /// Time of the first call without a reply, for hosts that did not reply to their last call.
     silent_since: RefCell<HashMap<SocketAddr, Instant>>,
 }
@@ -120,10 +122,20 @@
         registered.len() == 1 && registered.contains_key(own)
     }
 
-    /// Returns whether every host that may own engines has read their owners from an era of the store.
+    /// Remembers a host that a heartbeat or an ownership record names.
+    pub fn record_seen(&self, host: &str) {
+        let mut seen = self.seen.borrow_mut();
+        if !seen.contains(host) {
+            seen.insert(host.to_owned());
+        }
+    }
+
+    /// Returns whether every host that this one has heard of has read the owners of engines from an
+    /// era of the store.
     pub fn have_all_read_owners(&self, hosts: &HostView, era: Era) -> bool {
-        let registered = self.registered.borrow();
-        !registered.is_empty() && hosts.have_all_read_owners(era, registered.keys())
+        let (registered, seen) = (self.registered.borrow(), self.seen.borrow());
+        let named = registered.keys().chain(seen.iter());
+        !registered.is_empty() && hosts.have_all_read_owners(era, named)
     }
 
     /// Returns the address for callers of each registered host; the port is the same on all hosts.
@@ -301,6 +313,7 @@
     let now = node.now();
     let mut hosts = node.hosts.borrow_mut();
     for heartbeat in heartbeats {
+        node.peers.record_seen(&heartbeat.host);
         hosts.record(heartbeat, now);
     }
     for update in updates {
@@ -372,6 +385,7 @@
         let Ok(record) = serde_json::from_value::<HostRecord>(object.value) else { continue };
         node.peers.registered.borrow_mut().insert(object.name, record.peer_address);
     }
+    node.return_guard.borrow_mut().record_hosts_listed();
     contact_registered_hosts(node);
 }
 
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -452,6 +452,7 @@
     if owners.get(engine).is_some_and(|known| known.revision >= revision) {
         return;
     }
+    node.peers.record_seen(&record.host);
     node.events.important(&Event::Owner {
         engine,
         host: &record.host,
--- a/crates/tarragon_node/src/stream_origins.rs
+++ b/crates/tarragon_node/src/stream_origins.rs
@@ -16,6 +16,7 @@
 };
 use rail_peer::{PeerReply, PeerRequest, StreamOriginRequest, StreamStarts};
 use rail_route::{ServiceId, SoftwareVersion, Upstream};
+use rail_runtime::time_since_boot;
 use std::{
     cell::RefCell,
     collections::{BTreeMap, BTreeSet},
@@ -225,7 +226,8 @@
     let mut questions: FuturesUnordered<_> =
         others.take(ASKED_HOSTS).map(|peer| ask(node, peer, question.clone())).collect();
     let mut answers = Answers::default();
-    answers.asked.is_alone = node.peers.is_only_host(&node.settings.host);
+    let knows_hosts = node.return_guard.borrow().knows_hosts(time_since_boot());
+    answers.asked.is_alone = knows_hosts && node.peers.is_only_host(&node.settings.host);
     while let Some(answer) = questions.next().await {
         match answer {
             Some(knowledge) => {
