Orders from before a restart find room or are not waited for, however late they come (LIMIT)

Cause: an order that got no answer may be carried out seconds later, at the count that it names. The owner forgot such copies once a repeated one was answered, and at a restart; an engine that starts again under its id counts from zero, so that it reached these counts full. No message or record changes.

--- a/crates/rail_place/src/owner/adapter.rs
+++ b/crates/rail_place/src/owner/adapter.rs
@@ -1,5 +1,6 @@
 //! One adapter slot of an engine, as its owner tracks it.
 
+use super::UNTRIED_LOAD_TIME;
 use std::time::Duration;
 
 /// Time in which a request loses half its weight in the demand for an adapter.
@@ -60,6 +61,23 @@
         self.demand * (-age_s / DEMAND_HALF_LIFE_S).exp2()
     }
 
+    /// Reports whether it may occupy a slot of the engine.
+    pub(super) fn occupies_slot(&self) -> bool {
+        self.occupancy != Occupancy::None
+    }
+
+    /// Reports whether no granted request uses it and its load has ended, so that the engine unloads
+    /// it at once.
+    pub(super) fn is_idle(&self, now: Duration) -> bool {
+        let is_loaded = match self.state {
+            LoadState::Resident => true,
+            // The engine refuses to unload an adapter that is still being loaded.
+            LoadState::Unconfirmed { until } => now >= until + UNTRIED_LOAD_TIME,
+            LoadState::Loading { .. } | LoadState::Unloading => false,
+        };
+        self.in_use == 0 && is_loaded
+    }
+
     /// Reports whether its load may still be in progress, longer than expected.
     pub(super) fn may_still_load(&self) -> bool {
         self.not_ready_count < MAX_NOT_READY && !matches!(self.state, LoadState::Resident)
--- a/crates/rail_place/src/owner/grants.rs
+++ b/crates/rail_place/src/owner/grants.rs
@@ -111,7 +111,7 @@
             let (path, prompt) = (waiting.request.path(), self.prompt(&waiting.request, now));
             if let Some(path) = &path {
                 self.ensure_load_if_absent(path, now);
-                if !self.is_usable(path) {
+                if !self.is_usable(path) || self.is_withheld(path, now) {
                     continue;
                 }
             }
--- a/crates/rail_place/src/owner/mod.rs
+++ b/crates/rail_place/src/owner/mod.rs
@@ -9,6 +9,7 @@
 mod adapter;
 mod estimate;
 mod grants;
+mod late_copies;
 mod message;
 mod orders;
 
@@ -22,6 +23,7 @@
     pace::{PromptPacer, StreamTiming},
 };
 use adapter::{AdapterEntry, LoadState, Occupancy};
+use late_copies::LateCopies;
 use std::{
     collections::{BTreeMap, HashMap},
     time::Duration,
@@ -80,6 +82,8 @@
     accepted_orders: Option<u64>,
     /// Whether a copy of the next order got no answer and may have been carried out.
     has_unanswered_copy: bool,
+    /// Orders that a restarted engine may still carry out.
+    late_copies: LateCopies,
     consecutive_conflicts: u32,
     consecutive_unanswered: u32,
     /// When the last applied report was requested.
@@ -118,6 +122,7 @@
             sent: None,
             accepted_orders: None,
             has_unanswered_copy: false,
+            late_copies: LateCopies::default(),
             consecutive_conflicts: 0,
             consecutive_unanswered: 0,
             reported_at: None,
@@ -292,6 +297,12 @@
         self.report_at = now + REPORT_INTERVAL;
     }
 
+    /// Records that another host or process may have ordered the engine until now, of which the
+    /// engine may still carry out orders if it restarts. `engine_age` is the time since its start.
+    pub fn record_takeover(&mut self, engine_age: Duration, now: Duration) {
+        self.late_copies.record_takeover(engine_age, now);
+    }
+
     /// Records the start time of the engine from its registration or its report. Either may lag
     /// behind the other, so only a later start than the known one counts as a restart.
     pub fn record_engine_start(&mut self, started_unix_ms: Option<u64>) {
@@ -313,6 +324,7 @@
         self.consecutive_conflicts = 0;
         self.consecutive_unanswered = 0;
         self.has_unanswered_copy = false;
+        self.late_copies.record_restart();
         self.changed_at = Duration::ZERO;
         self.pacer.reset();
         self.kept.clear();
@@ -321,12 +333,13 @@
     /// Returns the commands that are due now; orders only if `may_order` is set.
     pub fn poll(&mut self, now: Duration, may_order: bool) -> Vec<OwnerCommand> {
         let mut commands = Vec::new();
+        self.late_copies.prune(now);
         self.update_load_states(now);
         self.replace_versions(now);
         self.refuse_overdue(now, &mut commands);
         self.grant_waiting(now, &mut commands);
         if may_order && self.sent.is_none() && now >= self.order_at {
-            commands.extend(self.next_order());
+            commands.extend(self.next_order(now));
         }
         if self.needs_report()
             && !self.awaits_report
@@ -412,15 +425,7 @@
         let wanted = |path: &str| {
             self.waiting.values().any(|waiting| waiting.request.path().as_deref() == Some(path))
         };
-        let idle = self.adapters.iter().filter(|(path, entry)| {
-            let is_loaded = match entry.state {
-                LoadState::Resident => true,
-                // The engine refuses to unload an adapter that is still being loaded.
-                LoadState::Unconfirmed { until } => now >= until + UNTRIED_LOAD_TIME,
-                LoadState::Loading { .. } | LoadState::Unloading => false,
-            };
-            entry.in_use == 0 && is_loaded && !wanted(path)
-        });
+        let idle = self.adapters.iter().filter(|(path, entry)| entry.is_idle(now) && !wanted(path));
         idle.min_by(|(_, a), (_, b)| {
             let demand = a.demand_at(now).total_cmp(&b.demand_at(now));
             demand.then(a.used_at.cmp(&b.used_at))
--- a/crates/rail_place/src/owner/orders.rs
+++ b/crates/rail_place/src/owner/orders.rs
@@ -2,7 +2,7 @@
 
 use super::{
     EngineOwner, REPORT_INTERVAL,
-    adapter::{LoadState, Occupancy},
+    adapter::{AdapterEntry, LoadState, Occupancy},
     message::{AdapterPath, OrderKind, OrderResult, OwnerCommand},
 };
 use std::time::Duration;
@@ -32,6 +32,7 @@
     pub fn finish_order(&mut self, result: OrderResult, now: Duration) {
         let Some(order) = self.sent.take() else { return };
         self.changed_at = now;
+        self.late_copies.record_result(result == OrderResult::Unknown);
         if self.accepted_orders.is_none() {
             // The count was discarded while the order was on its way, so its effect is unknown.
             self.orders.insert(0, order);
@@ -98,7 +99,7 @@
         }
     }
 
-    pub(super) fn next_order(&mut self) -> Option<OwnerCommand> {
+    pub(super) fn next_order(&mut self, now: Duration) -> Option<OwnerCommand> {
         let expected = self.accepted_orders?;
         if self.orders.is_empty() {
             return None;
@@ -110,7 +111,12 @@
             }
             return None;
         }
+        if !self.leaves_room_for_late_copies(&self.orders[0], expected, now) {
+            let unload = self.unload_for_late_copies(expected, now)?;
+            self.orders.insert(0, unload);
+        }
         let order = self.orders.remove(0);
+        self.late_copies.record_sent(&order, expected, now);
         if let OrderKind::Load(path, _) = &order
             && let Some(entry) = self.adapters.get_mut(path)
         {
@@ -128,6 +134,86 @@
         !is_placed && self.room(Duration::ZERO).occupied >= self.adapter_slots
     }
 
+    /// Reports whether late copies of orders still find room once an order is carried out, or at
+    /// least as much as before.
+    fn leaves_room_for_late_copies(&self, order: &OrderKind, expected: u64, now: Duration) -> bool {
+        let after = self.most_occupied(expected + 1, Some(order), None, now);
+        after <= self.adapter_slots || after <= self.most_occupied(expected, None, None, now)
+    }
+
+    /// Returns the most adapter slots that can be occupied through late copies from a count of the
+    /// engine on, with the effect of a further order, and with an adapter in use by a further
+    /// request.
+    fn most_occupied(
+        &self,
+        count: u64,
+        order: Option<&OrderKind>,
+        used: Option<&str>,
+        now: Duration,
+    ) -> usize {
+        let has_place =
+            |path: &str| self.adapters.get(path).is_some_and(AdapterEntry::occupies_slot);
+        let is_idle = |path: &str| {
+            used != Some(path) && self.adapters.get(path).is_some_and(|entry| entry.is_idle(now))
+        };
+        let is_unused = |path: &str| self.adapters.get(path).is_some_and(|entry| entry.in_use == 0);
+        let (loaded, unloaded) = match order {
+            Some(OrderKind::Load(path, _)) => (Some(path.as_str()), None),
+            Some(OrderKind::Unload(path)) if is_unused(path) => (None, Some(path.as_str())),
+            Some(OrderKind::Unload(_) | OrderKind::LoadModel(_)) | None => (None, None),
+        };
+        let added = usize::from(loaded.is_some_and(|path| !has_place(path)));
+        let freed = usize::from(unloaded.is_some_and(has_place));
+        let occupied = self.room(now).occupied + added - freed;
+        let is_placed =
+            |path: &str| loaded == Some(path) || (unloaded != Some(path) && has_place(path));
+        occupied + self.late_copies.most_added(count, is_placed, is_idle, now)
+    }
+
+    /// Selects an adapter to unload, so that late copies find room, and marks it.
+    fn unload_for_late_copies(&mut self, expected: u64, now: Duration) -> Option<OrderKind> {
+        if self.pending_unloads().next().is_some() {
+            return None;
+        }
+        let unload = OrderKind::Unload(self.select_eviction(now)?);
+        if !self.leaves_room_for_late_copies(&unload, expected, now) {
+            return None;
+        }
+        self.mark_unloading(&unload);
+        Some(unload)
+    }
+
+    fn mark_unloading(&mut self, order: &OrderKind) {
+        if let OrderKind::Unload(path) = order
+            && let Some(entry) = self.adapters.get_mut(path)
+        {
+            entry.state = LoadState::Unloading;
+        }
+    }
+
+    /// Reports whether a request may not use an adapter, since a late copy may unload it and
+    /// another one then load a further adapter into its place. The adapter is loaded again, which
+    /// makes the count of the copy pass.
+    pub(super) fn is_withheld(&mut self, path: &str, now: Duration) -> bool {
+        if !self.late_copies.may_unload(path) {
+            return false;
+        }
+        let Some(count) = self.accepted_orders else { return true };
+        let is_sent = self.sent.is_some();
+        let mut counts = [Some(count), is_sent.then_some(count + 1)].into_iter().flatten();
+        let is_safe = counts.all(|count| {
+            let with_use = self.most_occupied(count, None, Some(path), now);
+            with_use <= self.adapter_slots || with_use <= self.most_occupied(count, None, None, now)
+        });
+        let is_idle = self.adapters.get(path).is_some_and(|entry| entry.is_idle(now));
+        if !is_safe && is_idle {
+            let unload = OrderKind::Unload(path.to_owned());
+            self.mark_unloading(&unload);
+            self.orders.push(unload);
+        }
+        !is_safe
+    }
+
     /// Reports whether an order unloads an adapter that the engine wasn't shown to hold.
     fn is_unproven_unload(&self, order: &OrderKind) -> bool {
         let OrderKind::Unload(path) = order else { return false };
--- a/crates/rail_place/tests/engine_room.rs
+++ b/crates/rail_place/tests/engine_room.rs
@@ -250,6 +250,8 @@
             for (path, version) in &self.engine.newest {
                 self.owner.record_version(path, *version, now);
             }
+            let started_at = ms(self.engine.started_unix_ms);
+            self.owner.record_takeover(now.saturating_sub(started_at), now);
             self.owner_number += 1;
             self.owner_begins = now + HANDOVER_PAUSE;
         }
@@ -410,6 +412,14 @@
     check_room(Faults { late_share: 0.4, restart_interval, ..Faults::default() });
 }
 
+/// Guards against loads of an earlier owner that meet their count again after a restart.
+#[test]
+fn late_loads_of_an_earlier_owner_from_before_a_restart_never_overfill_the_engine() {
+    let (restart_interval, handover_interval) = (Some(ms(7_000)), Some(ms(9_000)));
+    let late_share = 0.4;
+    check_room(Faults { late_share, handover_interval, restart_interval, ..Faults::default() });
+}
+
 /// Guards against a conflict that is counted as an order carried out though its answer was lost.
 #[test]
 fn lost_answers_never_overfill_the_engine() {
--- a/crates/tarragon_node/src/engines.rs
+++ b/crates/tarragon_node/src/engines.rs
@@ -17,7 +17,7 @@
     collections::HashMap,
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 use tokio::sync::{Notify, oneshot};
 
@@ -238,6 +238,10 @@
         let mut owner =
             EngineOwner::new(upstream.slots, engine_config.adapter_slots, rollout_timeout);
         owner.record_engine_start(upstream.started_unix_ms);
+        let owners = node.owners.borrow();
+        if owners.get(&upstream.id).is_some_and(|ownership| ownership.has_predecessor) {
+            owner.record_takeover(engine_age(upstream), node.now());
+        }
         let versions = node.versions.borrow();
         for (adapter, version, seen_at) in versions.iter() {
             owner.record_version(adapter, version, seen_at);
@@ -359,6 +363,13 @@
     }
 }
 
+/// Returns the time since the start of an engine; unlimited if its record doesn't say when it started.
+fn engine_age(upstream: &Upstream) -> Duration {
+    let Some(started_unix_ms) = upstream.started_unix_ms else { return Duration::MAX };
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since_epoch.saturating_sub(Duration::from_millis(started_unix_ms))
+}
+
 fn status_name(status: AdapterStatus) -> &'static str {
     match status {
         AdapterStatus::Resident => "hot",
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -51,6 +51,8 @@
     pub record: OwnerRecord,
     /// Revision of the record in the store, from which engines get their fencing number.
     pub revision: Revision,
+    /// Whether another host or process owned the engine before, as far as this process has seen.
+    pub has_predecessor: bool,
 }
 
 /// Settings that take effect while the process runs.
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -449,9 +449,14 @@
 /// Applies an owner record unless one with the same or a later revision is known.
 pub fn merge_owner(node: &SharedNode, engine: &str, record: OwnerRecord, revision: Revision) {
     let mut owners = node.owners.borrow_mut();
-    if owners.get(engine).is_some_and(|known| known.revision >= revision) {
+    let known = owners.get(engine);
+    if known.is_some_and(|known| known.revision >= revision) {
         return;
     }
+    let is_other = |known: &Ownership| {
+        (&known.record.host, known.record.epoch) != (&record.host, record.epoch)
+    };
+    let has_predecessor = known.is_some_and(|known| known.has_predecessor || is_other(known));
     node.peers.record_seen(&record.host);
     node.events.important(&Event::Owner {
         engine,
@@ -459,7 +464,7 @@
         epoch: record.epoch,
         fence: revision.fence(),
     });
-    owners.insert(engine.to_owned(), Ownership { record, revision });
+    owners.insert(engine.to_owned(), Ownership { record, revision, has_predecessor });
     node.records_changed.notify_waiters();
 }
 
