--- a/crates/rail_peer/src/mesh.rs
+++ b/crates/rail_peer/src/mesh.rs
@@ -6,12 +6,12 @@
     message::PeerRequest,
     server::{IncomingCall, MAX_QUEUED_CALLS, accept_calls, is_host, server_config},
 };
-use quinn::{ClientConfig, Connection, Endpoint, IdleTimeout, TransportConfig};
+use quinn::{ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig};
 use rail_runtime::{Keys, keys::FLEET_SERVER_NAME};
 use std::{
     collections::HashMap,
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::Duration,
 };
 use tokio::sync::mpsc;
@@ -32,7 +32,7 @@
 #[derive(Debug, Clone)]
 pub struct PeerMesh {
     endpoint: Endpoint,
-    config: ClientConfig,
+    config: Arc<RwLock<ClientConfig>>,
     links: Links,
     incoming: mpsc::Sender<IncomingCall>,
 }
@@ -43,18 +43,26 @@
     /// # Errors
     /// Fails when the keys are not usable for TLS or the address can't be bound.
     pub fn bind(address: SocketAddr, keys: &Keys) -> Result<(Self, mpsc::Receiver<IncomingCall>)> {
-        let transport = Arc::new(transport_config());
-        let mut server = server_config(keys)?;
-        server.transport_config(Arc::clone(&transport));
-        let mut config = client_config(keys)?;
-        config.transport_config(transport);
+        let (server, client) = configs(keys)?;
         let endpoint = Endpoint::server(server, address).map_err(Error::Bind)?;
         let (incoming, receiver) = mpsc::channel(MAX_QUEUED_CALLS);
+        let config = Arc::new(RwLock::new(client));
         let mesh = Self { endpoint, config, links: Links::default(), incoming };
         tokio::spawn(mesh.clone().accept_links(keys.clone()));
         Ok((mesh, receiver))
     }
 
+    /// Uses other keys for new links; open links keep theirs.
+    ///
+    /// # Errors
+    /// Fails when the keys are not usable for TLS; the earlier ones stay in use.
+    pub fn replace_keys(&self, keys: &Keys) -> Result<()> {
+        let (server, client) = configs(keys)?;
+        self.endpoint.set_server_config(Some(server));
+        *self.config.write().unwrap_or_else(PoisonError::into_inner) = client;
+        Ok(())
+    }
+
     /// Sends a request to a peer, over the open link if there is one.
     ///
     /// # Errors
@@ -85,9 +93,10 @@
         if let Some(link) = open.filter(|link| link.close_reason().is_none()) {
             return Ok(link);
         }
+        let config = self.config.read().unwrap_or_else(PoisonError::into_inner).clone();
         let handshake = self
             .endpoint
-            .connect_with(self.config.clone(), peer, FLEET_SERVER_NAME)
+            .connect_with(config, peer, FLEET_SERVER_NAME)
             .map_err(|_error| Error::Connect)?;
         let link = tokio::time::timeout(CONNECT_TIMEOUT, handshake)
             .await
@@ -120,6 +129,14 @@
     }
 }
 
+fn configs(keys: &Keys) -> Result<(ServerConfig, ClientConfig)> {
+    let transport = Arc::new(transport_config());
+    let (mut server, mut client) = (server_config(keys)?, client_config(keys)?);
+    server.transport_config(Arc::clone(&transport));
+    client.transport_config(transport);
+    Ok((server, client))
+}
+
 fn transport_config() -> TransportConfig {
     let mut transport = TransportConfig::default();
     transport.max_idle_timeout(IdleTimeout::try_from(IDLE_TIMEOUT).ok());
--- a/crates/rail_place/tests/late_copies.rs
+++ b/crates/rail_place/tests/late_copies.rs
@@ -64,7 +64,7 @@
 }
 
 /// Sends an order that gets no answer, and again under its count, which is answered.
-fn lose_first_answer(owner: &mut EngineOwner, sent: OrderKind, expected: u64, now: Duration) {
+fn lose_first_answer(owner: &mut EngineOwner, sent: &OrderKind, expected: u64, now: Duration) {
     for result in [OrderResult::Unknown, OrderResult::Accepted] {
         assert_eq!(owner.poll(now, true), [order(sent.clone(), expected)]);
         owner.finish_order(result, now);
@@ -103,8 +103,8 @@
     request(&mut owner, 1, "b", ms(500));
     assert_eq!(owner.poll(ms(500), true), [OwnerCommand::Grant(1, None)]);
     request(&mut owner, 2, "c", ms(510));
-    lose_first_answer(&mut owner, unload("a"), 2, ms(510));
-    lose_first_answer(&mut owner, load("c"), 3, ms(520));
+    lose_first_answer(&mut owner, &unload("a"), 2, ms(510));
+    lose_first_answer(&mut owner, &load("c"), 3, ms(520));
     restart(&mut owner, ms(1_500));
     owner.release(1, GrantOutcome::Ended, None, ms(1_500));
     owner.release(2, GrantOutcome::Ended, None, ms(1_500));
@@ -125,7 +125,7 @@
 fn an_engine_is_full_at_the_count_of_a_late_load() {
     let mut owner = owner(&["a"]);
     request(&mut owner, 1, "c", ms(500));
-    lose_first_answer(&mut owner, load("c"), 2, ms(500));
+    lose_first_answer(&mut owner, &load("c"), 2, ms(500));
     restart(&mut owner, ms(1_500));
     owner.release(1, GrantOutcome::Ended, None, ms(1_500));
     let now = serve(&mut owner, 2, "a", 0, ms(1_600));
@@ -145,7 +145,7 @@
 fn late_copies_are_forgotten_in_time() {
     let mut owner = owner(&["a"]);
     request(&mut owner, 1, "c", ms(500));
-    lose_first_answer(&mut owner, load("c"), 2, ms(500));
+    lose_first_answer(&mut owner, &load("c"), 2, ms(500));
     owner.release(1, GrantOutcome::Ended, None, ms(1_500));
     restart(&mut owner, ms(40_000));
     let now = serve(&mut owner, 2, "a", 0, ms(40_100));
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -22,6 +22,8 @@
     Store { kind: &'a str, answers: bool, reason: &'a str },
     /// The store has returned from an older copy; this host keeps that many engines.
     StoreReturned { era: u32, kept_engines: usize },
+    /// New links use the certificate authority that another host has written in this era.
+    AuthorityChanged { era: u32 },
     /// Records are followed at another source: the store or a host.
     Source { source: &'a str },
     /// The feed of a source ended.
--- a/crates/tarragon_node/src/peers.rs
+++ b/crates/tarragon_node/src/peers.rs
@@ -325,11 +325,16 @@
 async fn maintain_registration(node: SharedNode) {
     // Most hosts restart: their records exist, and a stale listing suffices.
     list_registered_hosts(&node, Freshness::MayBeStale).await;
-    let mut is_written = is_registered(&node);
+    // A store that has returned from an older copy may have lost the record.
+    let mut written_in = is_registered(&node).then(|| node.store.era());
     let mut iteration = 1_u32;
     loop {
-        if !is_written {
-            is_written = write_host_record(&node.store, &node).await;
+        let era = node.store.era();
+        if written_in != Some(era) && write_host_record(&node.store, &node).await {
+            let is_first = written_in.replace(era).is_none();
+            if !is_first {
+                list_registered_hosts(&node, Freshness::Latest).await;
+            }
         }
         let knows_no_live_host = node.hosts.borrow().len() < 2;
         if knows_no_live_host && !knows_other_hosts(&node) {
@@ -390,7 +395,7 @@
 }
 
 /// Exchanges heartbeats with some registered hosts without a recent heartbeat.
-fn contact_registered_hosts(node: &SharedNode) {
+pub fn contact_registered_hosts(node: &SharedNode) {
     let now = node.now();
     let unreached = {
         let (registered, hosts) = (node.peers.registered.borrow(), node.hosts.borrow());
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -10,7 +10,8 @@
     error::Result,
     events::{Event, Events},
     flags::NodeFlags,
-    keys, lease,
+    keys::{self, AuthorityRecord},
+    lease,
     metrics::NodeMetrics,
     node::{Node, ReloadableSettings, SharedNode},
     peer_calls,
@@ -25,6 +26,7 @@
     upstream_loads::UpstreamLoads,
 };
 use rail_lease::{HostLease, ReturnGuard};
+use rail_peer::IncomingCall;
 use rail_runtime::MonotonicClock;
 use rail_site::{MetadataStore, NodeSettings, settings::SettingsFile};
 use rail_upstream::{BufferBudget, ConnectionPool, ConnectionTimeouts};
@@ -36,7 +38,7 @@
 };
 use tokio::{
     signal::unix::{SignalKind, signal},
-    sync::Notify,
+    sync::{Notify, mpsc},
     task::JoinHandle,
 };
 
@@ -163,16 +165,11 @@
 
 /// Fetches the keys, opens the endpoint for other hosts and starts the exchange with them.
 async fn join_fleet(node: SharedNode) {
-    let open_result = match keys::fetch_keys(&node.store, &node.settings.host).await {
-        Ok(keys) => node
-            .peers
-            .open(node.settings.ip, node.settings.peer_port, &keys)
-            .map_err(|error| error.to_string()),
-        Err(error) => Err(error.to_string()),
-    };
+    let open_result = open_links(&node).await;
     match open_result {
-        Ok(incoming) => {
+        Ok((authority, incoming)) => {
             actix_rt::spawn(peer_calls::serve(Rc::clone(&node), incoming));
+            actix_rt::spawn(keys::maintain_authority(Rc::clone(&node), authority));
             peers::spawn(&node);
         }
         Err(reason) => {
@@ -182,6 +179,17 @@
     }
 }
 
+/// Opens the endpoint for links under the authority of the fleet.
+async fn open_links(
+    node: &SharedNode,
+) -> std::result::Result<(AuthorityRecord, mpsc::Receiver<IncomingCall>), String> {
+    let settings = &node.settings;
+    let authority = keys::fetch_authority(&node.store).await.map_err(|error| error.to_string())?;
+    let keys = authority.issue(&settings.host).map_err(|error| error.to_string())?;
+    let opened = node.peers.open(settings.ip, settings.peer_port, &keys);
+    Ok((authority, opened.map_err(|error| error.to_string())?))
+}
+
 /// Removes state about upstreams and adapters that are not in use any more.
 async fn prune(node: SharedNode) {
     loop {
