--- a/crates/rail_upstream/src/lib.rs
+++ b/crates/rail_upstream/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod engine;
 pub mod error;
 pub mod events;
+mod head_limit;
 pub mod pool;
 
 /// Commonly used items.
--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -6,6 +6,7 @@
 use crate::{
     body::{BodyContent, BodyEnd, Completeness, Framing},
     buffer::BufferBudget,
+    head_limit::{HeadLimit, HeadLimitedStream},
 };
 use bytes::Bytes;
 use http::{Method, Request, Response, response::Parts};
@@ -64,6 +65,7 @@
 struct PooledConnection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    head_limit: HeadLimit,
     pool: Rc<PoolState>,
     address: SocketAddr,
     /// Whether a response has arrived on it.
@@ -230,6 +232,8 @@
         // On a system without these options only the callers' own timeouts apply.
         let _unsupported = stream.set_nodelay(true);
         let _unsupported = socket.set_tcp_user_timeout(Some(self.timeouts.unacknowledged));
+        let head_limit = HeadLimit::default();
+        let stream = HeadLimitedStream { stream, limit: head_limit.clone() };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -242,7 +246,7 @@
         self.state.opened.set(self.state.opened.get() + 1);
         self.state.adjust_open_count(address, 1);
         let pool = Rc::clone(&self.state);
-        Ok(PooledConnection { sender, task, pool, address, is_used: false })
+        Ok(PooledConnection { sender, task, head_limit, pool, address, is_used: false })
     }
 }
 
@@ -259,7 +263,10 @@
     request: Request<Full<Bytes>>,
 ) -> std::result::Result<UpstreamResponse, ExchangeError> {
     let method = request.method().clone();
-    match connection.sender.try_send_request(request).await {
+    connection.head_limit.start();
+    let result = connection.sender.try_send_request(request).await;
+    connection.head_limit.end();
+    match result {
         Ok(response) => Ok(UpstreamResponse::new(&method, response, connection)),
         Err(mut error) => Err(match error.take_message() {
             Some(request) => ExchangeError::NotSent(Box::new(request)),
