The log tells how old an adapter version was when a request was sent and began

Hosts logged that a version was announced, not within which time; orders not which version they load; and nothing showed a run on an older version.

Change: version events have the longest time since the announcement (the age of the confirmed records), load orders their version, and a request that begins on an older version than the newest known one leaves an event with the times at send and start, and a count (old_version_runs). The table of versions keeps each announced version until it is replaced; decisions still use the newest.

--- a/crates/rail_route/src/versions.rs
+++ b/crates/rail_route/src/versions.rs
@@ -3,44 +3,114 @@
 use crate::upstream::AdapterVersion;
 use std::{collections::HashMap, time::Duration};
 
+/// Most versions of one adapter whose times are kept.
+const MAX_KEPT_VERSIONS: usize = 16;
+
+/// Time before which a version was certainly not announced, on a clock of the caller; `None` if it
+/// may have been announced at any time.
+pub type AnnouncedAfter = Option<Duration>;
+
 #[derive(Debug, Clone, Copy)]
 struct AnnouncedVersion {
     version: AdapterVersion,
-    seen_at: Duration,
+    announced_after: AnnouncedAfter,
+    received_at: Duration,
+}
+
+/// Announced versions of one adapter. A version that is announced before the one before it is in
+/// place doesn't extend the time of that one, so each keeps its own.
+#[derive(Debug, Clone)]
+struct AdapterHistory {
+    newest: AnnouncedVersion,
+    /// Earlier versions, the oldest first.
+    earlier: Vec<AnnouncedVersion>,
 }
 
-/// Newest announced version of each adapter, by `model/adapter`.
+/// Announced versions of all adapters, by `model/adapter`.
 #[derive(Debug, Clone, Default)]
 pub struct AdapterVersions {
-    newest: HashMap<String, AnnouncedVersion>,
+    adapters: HashMap<String, AdapterHistory>,
+}
+
+impl AdapterHistory {
+    fn iter(&self) -> impl Iterator<Item = &AnnouncedVersion> {
+        self.earlier.iter().chain([&self.newest])
+    }
+
+    fn push(&mut self, announced: AnnouncedVersion) {
+        self.earlier.push(std::mem::replace(&mut self.newest, announced));
+        if self.earlier.len() >= MAX_KEPT_VERSIONS {
+            // The next version takes the time of the oldest one, which is never too late.
+            let oldest = self.earlier.remove(0);
+            let next = &mut self.earlier[0];
+            next.announced_after = next.announced_after.min(oldest.announced_after);
+        }
+    }
 }
 
 impl AdapterVersions {
-    /// Records an announced version, and reports whether it is newer than the known one; an older
+    /// Records an announced version, and reports whether it is newer than the known ones; an older
     /// one is ignored.
-    pub fn record(&mut self, adapter: &str, version: AdapterVersion, now: Duration) -> bool {
-        if self.newest(adapter).is_some_and(|known| known >= version) {
-            return false;
+    pub fn record(
+        &mut self,
+        adapter: &str,
+        version: AdapterVersion,
+        announced_after: AnnouncedAfter,
+        now: Duration,
+    ) -> bool {
+        let announced = AnnouncedVersion { version, announced_after, received_at: now };
+        match self.adapters.get_mut(adapter) {
+            Some(known) if known.newest.version >= version => return false,
+            Some(known) => known.push(announced),
+            None => {
+                let history = AdapterHistory { newest: announced, earlier: Vec::new() };
+                self.adapters.insert(adapter.to_owned(), history);
+            }
         }
-        self.newest.insert(adapter.to_owned(), AnnouncedVersion { version, seen_at: now });
         true
     }
 
     /// Returns the newest version of an adapter, if one was announced.
     pub fn newest(&self, adapter: &str) -> Option<AdapterVersion> {
-        self.newest.get(adapter).map(|announced| announced.version)
+        self.adapters.get(adapter).map(|history| history.newest.version)
     }
 
     /// Returns the newest version of an adapter and the time at which this process received it.
     pub fn newest_since(&self, adapter: &str) -> Option<(AdapterVersion, Duration)> {
-        self.newest.get(adapter).map(|announced| (announced.version, announced.seen_at))
+        let newest = &self.adapters.get(adapter)?.newest;
+        Some((newest.version, newest.received_at))
+    }
+
+    /// Returns the time from which a version of an adapter must not be used any more: `timeout`
+    /// after the first newer version may have been announced. `used` is `None` if the version is not
+    /// known. Returns `None` if no newer version was announced.
+    pub fn outdated_at(
+        &self,
+        adapter: &str,
+        used: Option<AdapterVersion>,
+        timeout: Duration,
+    ) -> Option<Duration> {
+        let announced = self.adapters.get(adapter)?.iter();
+        let newer = announced.filter(|announced| Some(announced.version) > used);
+        let first = newer.map(|announced| announced.announced_after).min()?;
+        Some(first.map_or(Duration::ZERO, |announced_after| announced_after + timeout))
+    }
+
+    /// Returns the number of adapters of which a version was announced.
+    pub fn len(&self) -> usize {
+        self.adapters.len()
+    }
+
+    /// Returns whether no version was announced.
+    pub fn is_empty(&self) -> bool {
+        self.adapters.is_empty()
     }
 
     /// Iterates over all adapters, with the newest version and the time at which this process
     /// received it.
     pub fn iter(&self) -> impl Iterator<Item = (&str, AdapterVersion, Duration)> {
-        self.newest
-            .iter()
-            .map(|(adapter, announced)| (adapter.as_str(), announced.version, announced.seen_at))
+        self.adapters.iter().map(|(adapter, history)| {
+            (adapter.as_str(), history.newest.version, history.newest.received_at)
+        })
     }
 }
--- a/crates/rail_route/tests/route.rs
+++ b/crates/rail_route/tests/route.rs
@@ -167,8 +167,8 @@
 #[test]
 fn an_older_announced_version_is_ignored() {
     let mut versions = AdapterVersions::default();
-    assert!(versions.record("m/a", 2, ms(5)));
-    assert!(!versions.record("m/a", 1, ms(6)));
+    assert!(versions.record("m/a", 2, None, ms(5)));
+    assert!(!versions.record("m/a", 1, None, ms(6)));
     assert_eq!(versions.newest_since("m/a"), Some((2, ms(5))));
 }
 
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -211,10 +211,12 @@
     upstream: &Upstream,
     options: AttemptOptions<'_>,
 ) -> Attempt {
+    let version = options.version.max(required_version(node, request));
+    request.sent_version.set(version);
     let added_headers = UpstreamRequestHeaders {
         time_left: request.time_left(),
         upstream_id: &upstream.id,
-        version: options.version.max(required_version(node, request)),
+        version,
         priority: Some(request.priority().min(9)),
         resume_after: options.resume_after,
         workspace: request.workspace_header(),
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -157,6 +157,7 @@
         is_http10: request.head().version < actix_http::Version::HTTP_11,
         connection_end,
         record_ages: Cell::new(node.record_ages()),
+        sent_version: Cell::default(),
         refused_by: RefCell::default(),
         limit: Cell::new(None),
         software: RefCell::default(),
--- a/crates/tarragon_node/src/engine_orders.rs
+++ b/crates/tarragon_node/src/engine_orders.rs
@@ -82,15 +82,16 @@
         },
     };
     node.metrics.orders.count(outcome);
-    let (name, subject) = match order {
-        OrderKind::LoadModel(model) => ("load_model", model),
-        OrderKind::Load(path, _) => ("load", path),
-        OrderKind::Unload(path) => ("unload", path),
+    let (name, subject, version) = match order {
+        OrderKind::LoadModel(model) => ("load_model", model, None),
+        OrderKind::Load(path, version) => ("load", path, *version),
+        OrderKind::Unload(path) => ("unload", path, None),
     };
     node.events.routine(&Event::Order {
         engine: &driver.id,
         order: name,
         subject,
+        version,
         expected,
         fence,
         outcome,
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -53,7 +53,26 @@
     /// An instance of a plain service has become slower or faster than the others, or no longer is.
     UpstreamSpeed { upstream: &'a str, before: &'a str, class: &'a str, mean_work_ms: u64 },
     /// A new version of an adapter was announced.
-    Version { adapter: &'a str, version: u64 },
+    Version {
+        adapter: &'a str,
+        version: u64,
+        /// Longest time since the announcement; none if nothing confirmed the versions before.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        announced_within_ms: Option<u64>,
+    },
+    /// A request began to run on an older version of its adapter than the newest announced one.
+    OldVersion {
+        request: &'a str,
+        upstream: &'a str,
+        adapter: &'a str,
+        /// Version that the upstream had to have; none if any could run the request.
+        version: Option<u64>,
+        newest: u64,
+        /// Longest time from the announcement of the first newer version to the send and to the
+        /// first part of the answer.
+        sent_ms: u64,
+        began_ms: u64,
+    },
     /// The owner of an engine changed.
     Owner { engine: &'a str, host: &'a str, epoch: u64, fence: u64 },
     /// The lease of this host was acquired or could not be renewed.
@@ -65,6 +84,9 @@
         engine: &'a str,
         order: &'a str,
         subject: &'a str,
+        /// Version of the adapter that is loaded.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        version: Option<u64>,
         expected: u64,
         fence: u64,
         outcome: &'a str,
--- a/crates/tarragon_node/src/main.rs
+++ b/crates/tarragon_node/src/main.rs
@@ -30,6 +30,7 @@
 mod lost_runs;
 mod metrics;
 mod node;
+mod old_versions;
 mod peer_calls;
 mod peers;
 mod quarantine;
--- a/crates/tarragon_node/src/metrics.rs
+++ b/crates/tarragon_node/src/metrics.rs
@@ -56,6 +56,9 @@
     pub refreshes: ReasonCounters,
     /// Orders to engines by outcome.
     pub orders: ReasonCounters,
+    /// Requests that began on an older adapter version than the newest announced one, by whether its
+    /// time had passed.
+    pub old_version_runs: ReasonCounters,
     /// Runs without a whole answer, by its sign.
     pub lost_runs: ReasonCounters,
     /// Upstreams that ended while they ran requests, by evidence.
@@ -185,6 +188,10 @@
                 "Questions to other hosts for newer records, by result",
             ),
             orders: registry.reason_counters("orders", "Orders to engines by outcome"),
+            old_version_runs: registry.reason_counters(
+                "old_version_runs",
+                "Requests that began on an older adapter version than the newest announced one",
+            ),
             lost_runs: registry
                 .reason_counters("lost_runs", "Runs without a whole answer, by its sign"),
             upstream_ends: registry.reason_counters(
@@ -250,7 +257,7 @@
         set(&tables.hosts, node.hosts.borrow().live(node.now()).count());
         set(&tables.upstreams, node.upstreams.borrow().iter().count());
         set(&tables.owned_engines, node.engines.len());
-        set(&tables.adapter_versions, node.versions.borrow().iter().count());
+        set(&tables.adapter_versions, node.versions.borrow().len());
         let routes = node.routes.borrow().as_ref().map_or(0, |routes| routes.routes().count());
         set(&tables.routes, routes);
         let quarantine = node.quarantine.table.borrow();
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -6,6 +6,7 @@
     engine_requests::{self, StartedResponse},
     lost_runs,
     node::SharedNode,
+    old_versions,
     quarantine::{self, Admission},
     reply,
     request::{CallerRequest, InFlight, RequestEnd, kind_name, record_request_end},
@@ -102,6 +103,7 @@
         let now = Instant::now();
         if self.request.answering_since.get().is_none() {
             self.request.answering_since.set(Some(now));
+            old_versions::record_start(&self.node, &self.request, &self.upstream);
         }
         let (arrived_at, sent_at) = (self.request.arrived_at, self.request.sent_at.get());
         if let Some(gap) = self.times.record_part(arrived_at, sent_at) {
