--- a/crates/rail_place/tests/owner.rs
+++ b/crates/rail_place/tests/owner.rs
@@ -211,6 +211,20 @@
     assert_eq!(owner.poll(ms(2100), true), [OwnerCommand::Order(load_new_version("b"), 1)]);
 }
 
+/// Guards against a replacement that each newer version postpones, so that an adapter in use is never
+/// replaced while versions follow one another.
+#[test]
+fn newer_versions_postpone_the_replacement_of_an_adapter_in_use() {
+    let mut owner = owner(4, &[("a", 1)]);
+    owner.request_start(start_request(1, "a", ms(100)), ms(0)).expect("the adapter is resident");
+    owner.poll(ms(0), true);
+    for (version, announced_at) in [(2, 10), (3, 1000), (4, 1900)] {
+        owner.record_version("base/a", version, ms(announced_at));
+    }
+    let load_newest = OrderKind::Load(format!("{MODEL}/a"), Some(4));
+    assert_eq!(owner.poll(ms(2100), true), [OwnerCommand::Order(load_newest, 0)]);
+}
+
 #[test]
 fn a_request_is_refused_when_the_prompt_backlog_exceeds_its_limit() {
     let mut owner = owner(4, &[("a", 1)]);
