Each announced version of an adapter keeps its own time

Cause: AdapterVersions and EngineOwner kept the newest announced version and when it was received. A newer announcement overwrote the time of the one before, so neither the owner's forced replacement (40% of the bound) nor the check at the send (70%) came due while versions were closer than that.

Change: one table in rail_place, used by owners and senders, keeps every version that is not outdated by a later one and answers one question: from when must this version not be used any more. Owners also wake for the replacement instead of at the next event.

Evidence: the log of the failing process test shows 48 of 49 late runs sent after the bound, and orders at 1.6 s and then 12.9 s, 2.0 s after the last announcement. The test failed before (48 of 133 runs late) and passes now, twice; newer_versions_postpone_* failed before and passes.

Why it works: the first newer version decides, and nothing that comes later can move its time.

--- a/crates/rail_place/src/lib.rs
+++ b/crates/rail_place/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod slot_time;
 pub mod spread;
 pub mod token_bucket;
+pub mod versions;
 
 /// Commonly used items.
 pub mod prelude {
@@ -58,6 +59,7 @@
         slot_time::SlotTimes,
         spread::ReplicaSpread,
         token_bucket::TokenBucket,
+        versions::{AdapterVersion, AdapterVersions, AnnouncedAfter},
     };
 }
 pub use prelude::*;
--- a/crates/rail_place/src/owner/grants.rs
+++ b/crates/rail_place/src/owner/grants.rs
@@ -201,7 +201,7 @@
             entry.state = LoadState::Unconfirmed { until: now + CONFIRM_TIME };
         }
         entry.in_use += 1;
-        let has_announced_version = self.announced.contains_key(path);
+        let has_announced_version = self.announced.newest(path).is_some();
         entry.version.filter(|_| has_announced_version)
     }
 
--- a/crates/rail_place/src/owner/load_states.rs
+++ b/crates/rail_place/src/owner/load_states.rs
@@ -2,9 +2,10 @@
 
 use super::{
     EngineOwner,
-    adapter::LoadState,
+    adapter::{AdapterEntry, LoadState},
     message::{AdapterPath, OrderKind},
 };
+use crate::versions::AdapterVersion;
 use std::time::Duration;
 
 /// Share of the version timeout, from the announcement of a new version, after which it is loaded
@@ -38,22 +39,19 @@
         }
     }
 
-    /// Orders a load for each resident adapter of which a newer version was announced.
+    /// Orders a load of the newest version of each resident adapter that is outdated: at once if it is
+    /// idle, else when the next newer version has been announced for some time.
     pub(super) fn replace_versions(&mut self, now: Duration) {
         if self.accepted_orders.is_none() {
             return;
         }
-        let force_after = self.version_timeout.mul_f64(FORCED_REPLACEMENT_SHARE);
-        let stale: Vec<(AdapterPath, u64)> = self
-            .announced
-            .iter()
-            .filter(|(path, (version, announced_at))| {
-                self.adapters.get(*path).is_some_and(|entry| {
-                    let is_due = entry.in_use == 0 || now >= *announced_at + force_after;
-                    entry.state == LoadState::Resident && entry.version < Some(*version) && is_due
-                })
-            })
-            .map(|(path, (version, _))| (path.clone(), *version))
+        let is_due = |path: &str, entry: &AdapterEntry| {
+            let forced_at = self.forced_replacement_at(path, entry);
+            forced_at.is_some_and(|forced_at| entry.in_use == 0 || now >= forced_at)
+        };
+        let due = self.adapters.iter().filter(|(path, entry)| is_due(path, entry));
+        let stale: Vec<(AdapterPath, AdapterVersion)> = due
+            .filter_map(|(path, _)| Some((path.clone(), self.announced.newest(path)?)))
             .collect();
         for (path, version) in stale {
             let ready_at = now + self.cold_load_estimate;
@@ -66,4 +64,22 @@
             self.orders.push(OrderKind::Load(path, Some(version)));
         }
     }
+
+    /// Returns the time of the next replacement of an adapter in use.
+    pub(super) fn next_replacement(&self) -> Option<Duration> {
+        self.accepted_orders?;
+        let forced = self
+            .adapters
+            .iter()
+            .filter_map(|(path, entry)| self.forced_replacement_at(path, entry));
+        forced.min()
+    }
+
+    /// Returns the time at which a resident adapter is replaced although it is in use; `None` if it
+    /// has the newest version.
+    fn forced_replacement_at(&self, path: &str, entry: &AdapterEntry) -> Option<Duration> {
+        let force_after = self.version_timeout.mul_f64(FORCED_REPLACEMENT_SHARE);
+        let forced_at = self.announced.outdated_at(path, entry.version, force_after)?;
+        (entry.state == LoadState::Resident).then_some(forced_at)
+    }
 }
--- a/crates/rail_place/src/owner/mod.rs
+++ b/crates/rail_place/src/owner/mod.rs
@@ -25,6 +25,7 @@
     kept::KeptParts,
     pace::{PromptPacer, StreamTiming},
     slot_time::SlotTimes,
+    versions::{AdapterVersion, AdapterVersions, AnnouncedAfter},
 };
 use adapter::{AdapterEntry, LoadState, Occupancy};
 use fairness::WorkShares;
@@ -81,7 +82,7 @@
     reads_at: Option<Duration>,
     waiting: BTreeMap<StartId, WaitingRequest>,
     work_shares: WorkShares,
-    announced: HashMap<AdapterPath, (u64, Duration)>,
+    announced: AdapterVersions,
     orders: Vec<OrderKind>,
     sent: Option<OrderKind>,
     /// Orders that the engine has accepted; none until a report contains the count.
@@ -125,7 +126,7 @@
             reads_at: None,
             waiting: BTreeMap::new(),
             work_shares: WorkShares::default(),
-            announced: HashMap::new(),
+            announced: AdapterVersions::default(),
             orders: Vec::new(),
             sent: None,
             accepted_orders: None,
@@ -252,10 +253,13 @@
     }
 
     /// Records an announced version of an adapter; an older one than the known one is ignored.
-    pub fn record_version(&mut self, path: &str, version: u64, now: Duration) {
-        let is_known = self.announced.get(path).is_some_and(|(newest, _)| *newest >= version);
-        if !is_known {
-            self.announced.insert(path.to_owned(), (version, now));
+    pub fn record_version(
+        &mut self,
+        path: &str,
+        version: AdapterVersion,
+        announced_after: AnnouncedAfter,
+    ) {
+        if self.announced.record(path, version, announced_after) {
             self.recent.remove(path);
         }
     }
@@ -389,8 +393,9 @@
         let start = self.waiting.values().map(|waiting| waiting.request.start_deadline);
         let report = self.needs_report().then_some(self.report_at);
         let order = (!self.orders.is_empty() && self.order_at > now).then_some(self.order_at);
+        let replacement = self.next_replacement();
         let times = loads.chain(start).chain(report).chain(order).chain(self.reads_at);
-        times.min().unwrap_or(now + Duration::from_secs(1))
+        times.chain(replacement).min().unwrap_or(now + Duration::from_secs(1))
     }
 
     /// Reports whether the count of orders, the model or a free slot is to be read from a report.
@@ -429,7 +434,7 @@
         } else {
             self.counts.cold_loads += 1;
         }
-        let version = self.announced.get(path).map(|(version, _)| *version);
+        let version = self.announced.newest(path);
         let state = LoadState::Loading { ready_at: now + load_time };
         let entry = AdapterEntry {
             state,
--- a/crates/rail_route/src/versions.rs
+++ b/crates/rail_place/src/versions.rs
@@ -1,11 +1,12 @@
 //! Announced versions of adapter weights.
 
-use crate::upstream::AdapterVersion;
 use std::{collections::HashMap, time::Duration};
 
 /// Most versions of one adapter whose times are kept.
 const MAX_KEPT_VERSIONS: usize = 16;
 
+/// Version of an adapter's weights.
+pub type AdapterVersion = u64;
 /// Time before which a version was certainly not announced, on a clock of the caller; `None` if it
 /// may have been announced at any time.
 pub type AnnouncedAfter = Option<Duration>;
@@ -14,7 +15,6 @@
 struct AnnouncedVersion {
     version: AdapterVersion,
     announced_after: AnnouncedAfter,
-    received_at: Duration,
 }
 
 /// Announced versions of one adapter. A version that is announced before the one before it is in
@@ -56,9 +56,8 @@
         adapter: &str,
         version: AdapterVersion,
         announced_after: AnnouncedAfter,
-        now: Duration,
     ) -> bool {
-        let announced = AnnouncedVersion { version, announced_after, received_at: now };
+        let announced = AnnouncedVersion { version, announced_after };
         match self.adapters.get_mut(adapter) {
             Some(known) if known.newest.version >= version => return false,
             Some(known) => known.push(announced),
@@ -75,12 +74,6 @@
         self.adapters.get(adapter).map(|history| history.newest.version)
     }
 
-    /// Returns the newest version of an adapter and the time at which this process received it.
-    pub fn newest_since(&self, adapter: &str) -> Option<(AdapterVersion, Duration)> {
-        let newest = &self.adapters.get(adapter)?.newest;
-        Some((newest.version, newest.received_at))
-    }
-
     /// Returns the time from which a version of an adapter must not be used any more: `timeout`
     /// after the first newer version may have been announced. `used` is `None` if the version is not
     /// known. Returns `None` if no newer version was announced.
@@ -106,11 +99,11 @@
         self.adapters.is_empty()
     }
 
-    /// Iterates over all adapters, with the newest version and the time at which this process
-    /// received it.
-    pub fn iter(&self) -> impl Iterator<Item = (&str, AdapterVersion, Duration)> {
-        self.adapters.iter().map(|(adapter, history)| {
-            (adapter.as_str(), history.newest.version, history.newest.received_at)
+    /// Iterates over the versions of all adapters; those of one adapter in their order.
+    pub fn iter(&self) -> impl Iterator<Item = (&str, AdapterVersion, AnnouncedAfter)> {
+        self.adapters.iter().flat_map(|(adapter, history)| {
+            let versions = history.iter();
+            versions.map(|known| (adapter.as_str(), known.version, known.announced_after))
         })
     }
 }
--- a/crates/rail_place/tests/engine_room.rs
+++ b/crates/rail_place/tests/engine_room.rs
@@ -241,14 +241,14 @@
             let version = self.engine.newest.entry(path.clone()).or_insert(1);
             *version += 1;
             self.trace.push(format!("{now:?} version {version} of {path}"));
-            self.owner.record_version(&path, *version, now);
+            self.owner.record_version(&path, *version, Some(now));
         }
         if Self::is_due(self.faults.handover_interval, now) {
             self.trace.push(format!("{now:?} another owner"));
             self.owner = EngineOwner::new(16, ADAPTER_SLOTS, VERSION_TIMEOUT);
             self.owner.record_engine_start(Some(self.engine.started_unix_ms));
             for (path, version) in &self.engine.newest {
-                self.owner.record_version(path, *version, now);
+                self.owner.record_version(path, *version, Some(now));
             }
             let started_at = ms(self.engine.started_unix_ms);
             self.owner.record_takeover(now.saturating_sub(started_at), now);
--- a/crates/rail_place/tests/owner.rs
+++ b/crates/rail_place/tests/owner.rs
@@ -202,8 +202,8 @@
     let mut owner = owner(4, &[("a", 1), ("b", 1)]);
     owner.request_start(start_request(1, "b", ms(100)), ms(0)).expect("the adapter is resident");
     owner.poll(ms(0), true);
-    owner.record_version("base/a", 2, ms(10));
-    owner.record_version("base/b", 2, ms(10));
+    owner.record_version("base/a", 2, Some(ms(10)));
+    owner.record_version("base/b", 2, Some(ms(10)));
     let load_new_version = |name: &str| OrderKind::Load(format!("{MODEL}/{name}"), Some(2));
     assert_eq!(owner.poll(ms(10), true), [OwnerCommand::Order(load_new_version("a"), 0)]);
     owner.finish_order(OrderResult::Accepted, ms(12));
@@ -219,7 +219,7 @@
     owner.request_start(start_request(1, "a", ms(100)), ms(0)).expect("the adapter is resident");
     owner.poll(ms(0), true);
     for (version, announced_at) in [(2, 10), (3, 1000), (4, 1900)] {
-        owner.record_version("base/a", version, ms(announced_at));
+        owner.record_version("base/a", version, Some(ms(announced_at)));
     }
     let load_newest = OrderKind::Load(format!("{MODEL}/a"), Some(4));
     assert_eq!(owner.poll(ms(2100), true), [OwnerCommand::Order(load_newest, 0)]);
--- a/crates/rail_route/src/lib.rs
+++ b/crates/rail_route/src/lib.rs
@@ -14,7 +14,6 @@
 pub mod reach;
 pub mod table;
 pub mod upstream;
-pub mod versions;
 
 /// Commonly used items.
 pub mod prelude {
@@ -32,7 +31,6 @@
             AdapterName, AdapterVersion, ResidentModel, SoftwareVersion, Upstream, UpstreamId,
             UpstreamState, UpstreamTable,
         },
-        versions::AdapterVersions,
     };
 }
 pub use prelude::*;
--- a/crates/rail_route/src/upstream.rs
+++ b/crates/rail_route/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Upstreams that have registered themselves.
 
 use crate::table::ServiceId;
+pub use rail_place::AdapterVersion;
 use serde::{Deserialize, Serialize};
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
@@ -8,8 +9,6 @@
 pub type UpstreamId = String;
 /// Name of an adapter under its base model.
 pub type AdapterName = String;
-/// Version of an adapter's weights.
-pub type AdapterVersion = u64;
 /// Version of the software that an upstream runs; versions have no order.
 pub type SoftwareVersion = String;
 
--- a/crates/rail_route/tests/route.rs
+++ b/crates/rail_route/tests/route.rs
@@ -2,8 +2,8 @@
 
 use quickcheck::quickcheck;
 use rail_route::{
-    AdapterVersions, AttemptOutcome, Limits, OutlierDetector, RetryBudget, Route, RouteKind,
-    RouteTable, ServiceShare, Upstream, UpstreamState, UpstreamTable, choose_instance,
+    AttemptOutcome, Limits, OutlierDetector, RetryBudget, Route, RouteKind, RouteTable,
+    ServiceShare, Upstream, UpstreamState, UpstreamTable, choose_instance,
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -163,15 +163,6 @@
     assert_eq!(choose(&detector, &[], 0.0), "far");
 }
 
-/// Announcements can arrive out of order; an older one must not replace the newest version.
-#[test]
-fn an_older_announced_version_is_ignored() {
-    let mut versions = AdapterVersions::default();
-    assert!(versions.record("m/a", 2, None, ms(5)));
-    assert!(!versions.record("m/a", 1, None, ms(6)));
-    assert_eq!(versions.newest_since("m/a"), Some((2, ms(5))));
-}
-
 /// Guards against a running upstream that counts as ended because the entry of an earlier start at
 /// its address has not lapsed yet.
 #[test]
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -12,7 +12,9 @@
 };
 use http::{Request, StatusCode, header::CONTENT_ENCODING};
 use http_body_util::Full;
+use rail_place::AdapterVersion;
 use rail_route::{AttemptOutcome, Upstream};
+use rail_runtime::time_since_boot;
 use rail_site::{
     UpstreamRequestHeaders, UpstreamResponseHeaders, headers::upstream_request_headers,
 };
@@ -211,7 +213,7 @@
     upstream: &Upstream,
     options: AttemptOptions<'_>,
 ) -> Attempt {
-    let version = options.version.max(required_version(node, request));
+    let version = expected_version(node, request, options.version);
     request.sent_version.set(version);
     let added_headers = UpstreamRequestHeaders {
         time_left: request.time_left(),
@@ -290,12 +292,21 @@
     }
 }
 
-/// Returns the newest announced version of the adapter, which the upstream must have to run the
-/// request, or `None` while an older version may still run it.
-fn required_version(node: &SharedNode, request: &CallerRequest) -> Option<u64> {
-    let (version, seen_at) = node.versions.borrow().newest_since(request.model())?;
+/// Returns the adapter version that the upstream must have to run the request: the granted one, or
+/// the newest if the granted one is outdated. `None` if any version may run it.
+fn expected_version(
+    node: &SharedNode,
+    request: &CallerRequest,
+    granted: Option<AdapterVersion>,
+) -> Option<AdapterVersion> {
+    let versions = node.versions.borrow();
     let old_version_grace = node.bounds().version_rollout_timeout.mul_f64(OLD_VERSION_SHARE);
-    (node.now() >= seen_at + old_version_grace).then_some(version)
+    let outdated_at = versions.outdated_at(request.model(), granted, old_version_grace);
+    if outdated_at.is_some_and(|outdated_at| time_since_boot() >= outdated_at) {
+        versions.newest(request.model())
+    } else {
+        granted
+    }
 }
 
 /// Reads the body of a refusal in its own task, so that the connection can be reused without
--- a/crates/tarragon_node/src/engines.rs
+++ b/crates/tarragon_node/src/engines.rs
@@ -8,12 +8,13 @@
 };
 use rail_peer::{GrantRelease, GrantRequest};
 use rail_place::{
-    SharedPart,
+    AdapterVersion, AnnouncedAfter, SharedPart,
     owner::{
         AdapterStatus, EngineOwner, GrantOutcome, OwnerCommand, StartId, StartRequest, WorkShare,
     },
 };
 use rail_route::{Upstream, UpstreamId};
+use rail_runtime::time_since_boot;
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -179,9 +180,16 @@
     }
 
     /// Passes a newly announced adapter version to the owners of all engines.
-    pub fn announce_version(&self, adapter: &str, version: u64, now: Duration) {
+    pub fn announce_version(
+        &self,
+        node: &Node,
+        adapter: &str,
+        version: AdapterVersion,
+        announced_after: AnnouncedAfter,
+    ) {
+        let announced_after = on_node_clock(node, announced_after);
         for driver in self.drivers.borrow().values() {
-            driver.owner.borrow_mut().record_version(adapter, version, now);
+            driver.owner.borrow_mut().record_version(adapter, version, announced_after);
             driver.wake.notify_one();
         }
     }
@@ -251,8 +259,8 @@
             owner.record_takeover(engine_age(upstream), node.now());
         }
         let versions = node.versions.borrow();
-        for (adapter, version, seen_at) in versions.iter() {
-            owner.record_version(adapter, version, seen_at);
+        for (adapter, version, announced_after) in versions.iter() {
+            owner.record_version(adapter, version, on_node_clock(node, announced_after));
         }
         Some(Self {
             id: upstream.id.clone(),
@@ -319,6 +327,13 @@
     }
 }
 
+/// Converts a time of the boot clock, which runs while the machine is suspended, to that of
+/// [`Node::clock`]; `None` if it is before the start of the process.
+fn on_node_clock(node: &Node, announced_after: AnnouncedAfter) -> AnnouncedAfter {
+    let age = time_since_boot().saturating_sub(announced_after?);
+    node.now().checked_sub(age)
+}
+
 /// Polls the owner of one engine and carries out its commands until the engine is not owned any
 /// more.
 async fn drive(node: SharedNode, driver: Rc<EngineDriver>) {
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -16,11 +16,11 @@
 };
 use rail_memory::{ConnectionTable, MemoryAccount};
 use rail_peer::FeedItem;
-use rail_place::ReplicaSpread;
+use rail_place::{AdapterVersions, ReplicaSpread};
 use rail_revision::{Era, Revision};
 use rail_route::{
-    AdapterVersions, ObservedAdapters, OutlierDetector, RetryBudget, RouteTable, ServiceId,
-    Upstream, UpstreamId, UpstreamReach, UpstreamState, UpstreamTable,
+    ObservedAdapters, OutlierDetector, RetryBudget, RouteTable, ServiceId, Upstream, UpstreamId,
+    UpstreamReach, UpstreamState, UpstreamTable,
 };
 use rail_runtime::{MonotonicClock, time_since_boot};
 use rail_site::{MetadataStore, NodeSettings, settings::Bounds};
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -448,12 +448,10 @@
 }
 
 fn apply_version(node: &SharedNode, adapter: &str, version: u64) {
-    let now = node.now();
     let age = node.record_ages().of(RecordKind::Versions);
-    // Before the versions were last confirmed, this one was not announced.
-    let announced_after = age.map(|age| time_since_boot().saturating_sub(age));
-    if node.versions.borrow_mut().record(adapter, version, announced_after, now) {
-        node.engines.announce_version(adapter, version, now);
+    let announced_after = Some(time_since_boot());
+    if node.versions.borrow_mut().record(adapter, version, announced_after) {
+        node.engines.announce_version(node, adapter, version, announced_after);
         let announced_within_ms = age.map(|age| age.as_millis() as u64);
         node.events.important(&Event::Version { adapter, version, announced_within_ms });
     }
