The time of a version counts from its announcement, not from when a host heard of it

What callers could see: work on an old version past the bound at a host that starts, or hears of a version late. By reading; not reproduced: a fleet of four hosts that is killed 1.2 s after the second version and started again served no late run, on the code before and after (process test, two runs before, one after; not kept).

Cause: hosts dated an announcement by its receipt. A host whose source fails hears up to 3.1 s late, so its owners forced a replacement up to 5.1 s after the acknowledgement; a process that starts dates all versions by its start; and the clock stands still while the machine is suspended.

Change: a version was not announced before the versions were last confirmed, so its time counts from then, on the boot clock; without a confirmation it is outdated at once. A receipt comes a watch's pause (a fifth of the bound) after that as a rule, which owners add, so that in ordinary times they replace when they did. Requests are sent to the old version until 80% of the bound after that time: at most 4.0 s after the acknowledgement, where it was 4.6 s, which leaves them a second to begin.

--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -30,8 +30,9 @@
 /// Longest idle time of a connection that is reused for a request that can be retried.
 const MAX_IDLE_RETRYABLE: Duration = Duration::from_secs(4);
 
-/// Share of the version rollout timeout during which the old version may still run requests.
-const OLD_VERSION_SHARE: f64 = 0.7;
+/// Share of the version rollout timeout during which requests are still sent to the old version; in
+/// the rest of it they begin.
+const OLD_VERSION_SHARE: f64 = 0.8;
 
 /// Reason of an attempt whose connection ended before a response.
 const CONNECTION_LOST: &str = "connection_lost";
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -449,7 +449,8 @@
 
 fn apply_version(node: &SharedNode, adapter: &str, version: u64) {
     let age = node.record_ages().of(RecordKind::Versions);
-    let announced_after = Some(time_since_boot());
+    // Before the versions were last confirmed, this one was not announced.
+    let announced_after = age.map(|age| time_since_boot().saturating_sub(age));
     if node.versions.borrow_mut().record(adapter, version, announced_after) {
         node.engines.announce_version(node, adapter, version, announced_after);
         let announced_within_ms = age.map(|age| age.as_millis() as u64);
