An owner grants no outdated version while it can't replace it

What callers could see: work on an old adapter version past the bound at one engine, through any host, whenever its owner waits for the engine's count of orders (after a conflict, a lost answer or a takeover).

Cause: the replacement of an outdated version needs the count of orders and returned without it, while grants of the same version went on. An adapter whose load no request had tried yet was not replaced at all until one had.

Change: from the time of the forced replacement an adapter is not granted, whatever the owner knows of the engine's orders; loaded adapters that were not tried are replaced too. The check at the send stays as the last one.

Evidence: an_outdated_version_is_granted_while_no_order_can_replace_it failed before (grant of request 3, 2.6 s after the announcement, with the count unknown) and passes.

Why it works: granting and replacing now ask the same question, forced_replacement_at.

--- a/crates/rail_place/src/owner/grants.rs
+++ b/crates/rail_place/src/owner/grants.rs
@@ -137,8 +137,9 @@
         }
     }
 
-    /// Grants waiting requests in the order of [`GrantOrder`] and then of arrival, if their adapter is resident or needs a trial request, and their prompt holds up no running
-    /// stream for too long. A prompt that waits for that isn't overtaken, so that a long one gets its
+    /// Grants waiting requests in the order of [`GrantOrder`] and then of arrival, if their adapter is
+    /// resident or needs a trial request, and their prompt holds up no running stream for too long. A
+    /// prompt that waits for that isn't overtaken, so that a long one gets its
     /// turn.
     pub(super) fn grant_waiting(&mut self, now: Duration, commands: &mut Vec<OwnerCommand>) {
         self.reads_at = None;
@@ -160,7 +161,7 @@
             let (path, prompt) = (waiting.request.path(), self.prompt(&waiting.request, now));
             if let Some(path) = &path {
                 self.ensure_load_if_absent(path, now);
-                if !self.is_usable(path) || self.is_withheld(path, now) {
+                if !self.is_usable(path, now) || self.is_withheld(path, now) {
                     continue;
                 }
             }
@@ -183,12 +184,16 @@
     }
 
     /// Reports whether a request may be sent to an adapter: it is resident, or was loaded and no
-    /// request has tried it yet.
-    fn is_usable(&self, path: &str) -> bool {
-        self.adapters.get(path).is_some_and(|entry| match entry.state {
-            LoadState::Resident => true,
-            LoadState::Unconfirmed { .. } => !entry.was_tried,
-            LoadState::Loading { .. } | LoadState::Unloading => false,
+    /// request has tried it yet. An outdated version isn't used, even while no order can replace it.
+    fn is_usable(&self, path: &str, now: Duration) -> bool {
+        self.adapters.get(path).is_some_and(|entry| {
+            let is_loaded = match entry.state {
+                LoadState::Resident => true,
+                LoadState::Unconfirmed { .. } => !entry.was_tried,
+                LoadState::Loading { .. } | LoadState::Unloading => false,
+            };
+            let forced_at = self.forced_replacement_at(path, entry);
+            is_loaded && forced_at.is_none_or(|forced_at| now < forced_at)
         })
     }
 
--- a/crates/rail_place/src/owner/load_states.rs
+++ b/crates/rail_place/src/owner/load_states.rs
@@ -46,8 +46,9 @@
             return;
         }
         let is_due = |path: &str, entry: &AdapterEntry| {
+            let is_idle = entry.in_use == 0 && entry.state == LoadState::Resident;
             let forced_at = self.forced_replacement_at(path, entry);
-            forced_at.is_some_and(|forced_at| entry.in_use == 0 || now >= forced_at)
+            forced_at.is_some_and(|forced_at| is_idle || now >= forced_at)
         };
         let due = self.adapters.iter().filter(|(path, entry)| is_due(path, entry));
         let stale: Vec<(AdapterPath, AdapterVersion)> = due
@@ -75,11 +76,16 @@
         forced.min()
     }
 
-    /// Returns the time at which a resident adapter is replaced although it is in use; `None` if it
-    /// has the newest version.
-    fn forced_replacement_at(&self, path: &str, entry: &AdapterEntry) -> Option<Duration> {
+    /// Returns the time at which a loaded adapter is replaced although it is in use, and from which
+    /// it is not granted; `None` if it has the newest version.
+    pub(super) fn forced_replacement_at(
+        &self,
+        path: &str,
+        entry: &AdapterEntry,
+    ) -> Option<Duration> {
         let force_after = self.version_timeout.mul_f64(FORCED_REPLACEMENT_SHARE);
         let forced_at = self.announced.outdated_at(path, entry.version, force_after)?;
-        (entry.state == LoadState::Resident).then_some(forced_at)
+        let is_loaded = matches!(entry.state, LoadState::Resident | LoadState::Unconfirmed { .. });
+        is_loaded.then_some(forced_at)
     }
 }
--- a/crates/rail_place/tests/owner.rs
+++ b/crates/rail_place/tests/owner.rs
@@ -225,6 +225,22 @@
     assert_eq!(owner.poll(ms(2100), true), [OwnerCommand::Order(load_newest, 0)]);
 }
 
+/// Guards against an owner that waits for the engine's count of orders, so that it can't replace an
+/// outdated version, and grants it meanwhile.
+#[test]
+fn an_outdated_version_is_granted_while_no_order_can_replace_it() {
+    let mut owner = owner(4, &[("a", 1)]);
+    owner.request_start(start_request(1, "a", ms(4000)), ms(0)).expect("the adapter is resident");
+    owner.poll(ms(0), true);
+    owner.record_version("base/a", 2, Some(ms(10)));
+    owner.request_start(start_request(2, "b", ms(4000)), ms(20)).expect("there is room");
+    assert!(matches!(owner.poll(ms(20), true)[..], [OwnerCommand::Order(..)]));
+    owner.finish_order(OrderResult::Refused, ms(30));
+    owner.request_start(start_request(3, "a", ms(9000)), ms(2600)).expect("may wait");
+    let commands = owner.poll(ms(2600), true);
+    assert!(!commands.iter().any(|command| matches!(command, OwnerCommand::Grant(3, _))));
+}
+
 #[test]
 fn a_request_is_refused_when_the_prompt_backlog_exceeds_its_limit() {
     let mut owner = owner(4, &[("a", 1)]);
