Retries and groups of plain instances are decided in rail_route

service_requests.rs of the node contained three tests of the same form for a retry (server error, lost run, refusal), a count of unsent attempts, and the ranks of instances that were tried or ejected. rail_route::AttemptCounts::may_retry now decides on the four kinds of failed attempts in one match, and preferred_instances, untried_instances and trial_candidates stand beside choose_instance, which ranks alike. The order of the checks stays: the retry budget is still spent last. Behaviour is unchanged.

--- a/crates/rail_route/src/lib.rs
+++ b/crates/rail_route/src/lib.rs
@@ -2,16 +2,18 @@
 //!
 //! [`RouteTable`] is one accepted configuration: it maps a request to a [`Route`] and a service.
 //! [`UpstreamTable`] contains the registered upstreams, [`UpstreamReach`] tells whether this host
-//! reaches any, [`OutlierDetector`] ejects those that fail
-//! too often, and [`RetryBudget`] limits retries over all hosts together. [`ObservedAdapters`]
-//! records which engines answered requests for which adapters. The caller passes in the current
-//! time; nothing here does I/O or reads a clock.
+//! reaches any, and [`OutlierDetector`] ejects those that fail too often. [`choose_instance`] chooses
+//! among the instances of a plain service. [`AttemptCounts`] decides whether a request is sent again,
+//! and [`RetryBudget`] limits retries over all hosts together. [`ObservedAdapters`] records which
+//! engines answered requests for which adapters. The caller passes in the current time; nothing here
+//! does I/O or reads a clock.
 
 pub mod budget;
 pub mod choose;
 pub mod observed;
 pub mod outlier;
 pub mod reach;
+pub mod retry;
 pub mod table;
 pub mod upstream;
 pub mod versions;
@@ -20,10 +22,11 @@
 pub mod prelude {
     pub use crate::{
         budget::RetryBudget,
-        choose::choose_instance,
+        choose::{choose_instance, preferred_instances, trial_candidates, untried_instances},
         observed::ObservedAdapters,
         outlier::{AttemptOutcome, OutlierDetector},
         reach::UpstreamReach,
+        retry::{AttemptCounts, AttemptFailure},
         table::{
             BaseModel, EngineShape, Limits, Route, RouteKind, RouteTable, Service, ServiceId,
             ServiceShare,
--- a/crates/rail_route/tests/route.rs
+++ b/crates/rail_route/tests/route.rs
@@ -2,8 +2,9 @@
 
 use quickcheck::quickcheck;
 use rail_route::{
-    AdapterVersions, AttemptOutcome, Limits, OutlierDetector, RetryBudget, Route, RouteKind,
-    RouteTable, ServiceShare, Upstream, UpstreamState, UpstreamTable, choose_instance,
+    AdapterVersions, AttemptCounts, AttemptFailure, AttemptOutcome, Limits, OutlierDetector,
+    RetryBudget, Route, RouteKind, RouteTable, ServiceShare, Upstream, UpstreamState,
+    UpstreamTable, choose_instance, preferred_instances, trial_candidates, untried_instances,
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
@@ -163,6 +164,54 @@
     assert_eq!(choose(&detector, &[], 0.0), "far");
 }
 
+/// Guards against requests that are kept from the only instances left, or sent again to one that
+/// failed them while there are others.
+#[test]
+fn tried_and_ejected_instances_are_used_only_if_no_others_are_left() {
+    let all = ["idle", "busy", "ejected", "tried"].map(|id| upstream(id, "z"));
+    let mut detector = OutlierDetector::default();
+    detector.record("ejected", AttemptOutcome::Unreachable, ms(0));
+    detector.record("ejected", AttemptOutcome::Unreachable, ms(1));
+    let (tried, now) = (["tried".to_owned()], ms(20));
+    let preferred =
+        |instances: &[Arc<Upstream>]| preferred_instances(instances, &tried, &detector, now);
+    assert_eq!(preferred(&all), ["idle", "busy"]);
+    assert_eq!(preferred(&all[2..]), ["ejected"]);
+    assert_eq!(preferred(&all[3..]), ["tried"]);
+    let untried = untried_instances(all[1..].to_vec(), &tried, &detector, now);
+    assert_eq!(untried, all[1..2]);
+    let load = |id: &str| if id == "busy" { 1.0 } else { 0.0 };
+    let candidates = trial_candidates(all[1..].iter(), &tried, &detector, load, now);
+    assert_eq!(candidates, ["busy", "ejected", "tried"]);
+}
+
+/// Guards against requests that run twice though their route forbids it, or that fail though they
+/// could be sent again.
+#[test]
+fn a_failed_attempt_is_retried_if_its_kind_and_its_route_allow_it() {
+    use AttemptFailure::{Lost, NotSent, Refused, ServerError};
+    use RouteKind::{Idempotent, NonIdempotent};
+    // Failure, kind of the route, its attempts, attempts sent and unsent before, time left.
+    let cases = [
+        (ServerError, Idempotent, 2, (0, 0), ms(11), true),
+        (ServerError, Idempotent, 2, (1, 0), ms(11), false),
+        (Lost, Idempotent, 2, (0, 0), ms(11), true),
+        (Lost, Idempotent, 2, (0, 0), ms(10), false),
+        (Lost, NonIdempotent, 4, (0, 0), ms(11), false),
+        (Refused, NonIdempotent, 1, (0, 0), ms(11), true),
+        (Refused, NonIdempotent, 1, (1, 0), ms(11), false),
+        (Refused, NonIdempotent, 4, (2, 0), ms(11), true),
+        (Refused, NonIdempotent, 4, (0, 0), ms(10), false),
+        (NotSent, NonIdempotent, 1, (5, 2), ms(1), true),
+        (NotSent, NonIdempotent, 1, (0, 3), ms(1000), false),
+    ];
+    for (failure, kind, max_attempts, (sent, unsent), time_left, expected) in cases {
+        let route = Route { kind, max_attempts, ..route("r", "/", &[]) };
+        let may_retry = AttemptCounts { sent, unsent }.may_retry(failure, &route, time_left);
+        assert_eq!(may_retry, expected, "{failure:?}, {kind:?}, {sent} sent, {unsent} unsent");
+    }
+}
+
 /// Announcements can arrive out of order; an older one must not replace the newest version.
 #[test]
 fn an_older_announced_version_is_ignored() {
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -12,22 +12,19 @@
     reply::Failure,
     request::{CallerRequest, InFlight, fail_request, quarantine_response},
     send_permits,
-    service_runs::{BufferedResponse, ServiceRun},
+    service_runs::ServiceRun,
 };
 use actix_http::{Response, body::BoxBody};
-use rail_route::{AttemptOutcome, Upstream, UpstreamId, choose_instance};
+use rail_route::{
+    AttemptCounts, AttemptFailure, AttemptOutcome, Upstream, UpstreamId, choose_instance,
+    preferred_instances, trial_candidates, untried_instances,
+};
 use std::{sync::Arc, time::Duration};
 
 /// `retry-after` for callers when no upstream could be reached.
 const NO_UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// `retry-after` for callers when the upstreams refused the request or it timed out unsent.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(120);
-/// Attempts of one request that may fail before the upstream receives it.
-const MAX_UNSENT_ATTEMPTS: u32 = 4;
-/// Instances that are proposed for the trial of a request.
-const MAX_TRIAL_CANDIDATES: usize = 8;
-/// Time left below which no further attempt is started.
-const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(10);
 
 /// Sends a request to instances of its service until one answers or the deadline passes.
 pub async fn serve(
@@ -87,13 +84,20 @@
     current_trial: Option<KeyTrial>,
     /// Upstreams that name a limit and had no permit left for the request.
     over_limit: Vec<String>,
-    attempts_sent: u32,
-    unsent_attempts: u32,
+    attempts: AttemptCounts,
     may_have_run: bool,
     /// Whether other hosts were asked to serve the request.
     is_detour_tried: bool,
 }
 
+impl RetryState {
+    /// Returns whether the request is sent again after an attempt that failed in this way. The retry
+    /// budget is not considered.
+    fn may_retry(&self, request: &CallerRequest, failure: AttemptFailure) -> bool {
+        self.attempts.may_retry(failure, &request.route, request.time_left())
+    }
+}
+
 /// Sends the request to one instance after another, within the limits of its route and the retry
 /// budget. Returns `None` if the request has not run and goes through another host.
 async fn send_with_retries(
@@ -130,16 +134,17 @@
             upstream: &upstream,
             run,
             admission: &admission,
-            earlier_attempts: retry_state.attempts_sent,
+            earlier_attempts: retry_state.attempts.sent,
         };
         let others = || untried_upstreams(node, request, retry_state, &admission);
         let hedged = hedges::send(node, request, first, others).await;
         let (upstream, is_hedged) = (hedged.upstream, hedged.other.is_some());
         retry_state.tried_upstreams.extend(hedged.other);
-        retry_state.attempts_sent += u32::from(is_hedged);
+        retry_state.attempts.sent += u32::from(is_hedged);
         let reason = match hedged.result {
             ServiceRun::Responded(buffered) => {
-                let retries = should_retry_failure(request, retry_state, &buffered);
+                let retries = buffered.head.status.is_server_error()
+                    && retry_state.may_retry(request, AttemptFailure::ServerError);
                 if !retries {
                     buffered.record_end(node, request, &upstream, admission);
                 }
@@ -150,7 +155,9 @@
             }
             ServiceRun::Lost(reason) => {
                 lost_runs::record_loss(node, request, &upstream, admission, reason).await;
-                if !may_retry_lost(node, request, retry_state) {
+                let is_allowed = retry_state.may_retry(request, AttemptFailure::Lost)
+                    && node.try_retry(&request.service);
+                if !is_allowed {
                     let failure = Failure::UpstreamLost;
                     return Some(fail_request(node, request, failure, None, &upstream.id));
                 }
@@ -169,18 +176,17 @@
             }
             ServiceRun::NotSent | ServiceRun::Withdrawn => {
                 retry_state.may_have_run = may_have_run_before;
-                retry_state.unsent_attempts += 1;
-                if retry_state.unsent_attempts >= MAX_UNSENT_ATTEMPTS {
+                if !retry_state.may_retry(request, AttemptFailure::NotSent) {
                     return Some(unsent_response(node, request, &upstream, may_have_run_before));
                 }
+                retry_state.attempts.unsent += 1;
                 retry_state.tried_upstreams.push(upstream.id.clone());
                 node.metrics.retries.count("not_sent");
                 continue;
             }
             ServiceRun::NotRun(_) => {
                 retry_state.may_have_run = may_have_run_before;
-                let is_allowed = retry_state.attempts_sent + 1 < request.route.max_attempts.max(2)
-                    && request.time_left() > MIN_ATTEMPT_TIME
+                let is_allowed = retry_state.may_retry(request, AttemptFailure::Refused)
                     && node.try_retry(&request.service);
                 if !is_allowed {
                     return Some(busy_response(node, request, &upstream, may_have_run_before));
@@ -188,7 +194,7 @@
                 "not_run"
             }
         };
-        retry_state.attempts_sent += 1;
+        retry_state.attempts.sent += 1;
         retry_state.tried_upstreams.push(upstream.id.clone());
         node.metrics.retries.count(reason);
     }
@@ -244,7 +250,7 @@
 fn is_detour_due(node: &Node, request: &CallerRequest, retry_state: &RetryState) -> bool {
     !retry_state.is_detour_tried
         && !retry_state.may_have_run
-        && detour::is_due(node, request, retry_state.unsent_attempts)
+        && detour::is_due(node, request, retry_state.attempts.unsent)
 }
 
 /// Passes a request on to another host. Returns `None` if no other host is live.
@@ -263,41 +269,13 @@
     answer
 }
 
-/// Returns whether a server error of an upstream should be retried.
-fn should_retry_failure(
-    request: &CallerRequest,
-    retry_state: &RetryState,
-    buffered: &BufferedResponse,
-) -> bool {
-    buffered.head.status.is_server_error()
-        && request.route.kind.is_retryable()
-        && retry_state.attempts_sent + 1 < request.route.max_attempts
-        && request.time_left() > MIN_ATTEMPT_TIME
-}
-
-/// Returns whether a request that may have run can be sent again; if so, spends a retry of the
-/// budget.
-fn may_retry_lost(node: &SharedNode, request: &CallerRequest, retry_state: &RetryState) -> bool {
-    request.route.kind.is_retryable()
-        && retry_state.attempts_sent + 1 < request.route.max_attempts
-        && request.time_left() > MIN_ATTEMPT_TIME
-        && node.try_retry(&request.service)
-}
-
-/// Returns the instances that may run the trial of a request, the least loaded first. Ejected ones
-/// and those that were tried already come last.
+/// Returns the instances that may run the trial of a request, the preferred one first.
 fn candidates(node: &SharedNode, request: &CallerRequest, tried: &[String]) -> Vec<UpstreamId> {
-    let (upstreams, now) = (node.upstreams.borrow(), node.now());
-    let outlier_detector = node.outlier_detector.borrow();
+    let upstreams = node.upstreams.borrow();
     let ready = upstreams.ready(&request.service);
     let answering = ready.filter(|upstream| !node.upstream_ends.is_silent(upstream));
-    let mut ready: Vec<UpstreamId> = answering.map(|upstream| upstream.id.clone()).collect();
-    ready.sort_by(|a, b| {
-        node.upstream_loads.estimate(a).total_cmp(&node.upstream_loads.estimate(b))
-    });
-    ready.sort_by_key(|id| outlier_detector.is_ejected(id, now) || tried.contains(id));
-    ready.truncate(MAX_TRIAL_CANDIDATES);
-    ready
+    let load = |id: &str| node.upstream_loads.estimate(id);
+    trial_candidates(answering, tried, &node.outlier_detector.borrow(), load, node.now())
 }
 
 /// Instance that runs a request next.
@@ -319,7 +297,12 @@
     admission: &Admission,
 ) -> Choice {
     let usable = usable_upstreams(node, request, retry_state, admission);
-    let preferred = preferred_upstreams(node, &usable, &retry_state.tried_upstreams);
+    let preferred = preferred_instances(
+        &usable,
+        &retry_state.tried_upstreams,
+        &node.outlier_detector.borrow(),
+        node.now(),
+    );
     match dispatch_calls::acquire(node, request, &preferred, request.time_left()).await {
         Ok(Some((id, run))) => {
             let chosen = usable.into_iter().find(|upstream| upstream.id == id);
@@ -358,25 +341,9 @@
     retry_state: &RetryState,
     admission: &Admission,
 ) -> Vec<Arc<Upstream>> {
-    let mut usable = usable_upstreams(node, request, retry_state, admission);
-    let (outlier_detector, now) = (node.outlier_detector.borrow(), node.now());
-    usable.retain(|upstream| {
-        !retry_state.tried_upstreams.contains(&upstream.id)
-            && !outlier_detector.is_ejected(&upstream.id, now)
-    });
-    usable
-}
-
-/// Returns the instances among which the dispatcher chooses: those that are neither ejected nor tried,
-/// if there are any.
-fn preferred_upstreams(node: &Node, usable: &[Arc<Upstream>], tried: &[String]) -> Vec<UpstreamId> {
-    let (outlier_detector, now) = (node.outlier_detector.borrow(), node.now());
-    let rank = |upstream: &Arc<Upstream>| {
-        (tried.contains(&upstream.id), outlier_detector.is_ejected(&upstream.id, now))
-    };
-    let best = usable.iter().map(rank).min();
-    let preferred = usable.iter().filter(|upstream| Some(rank(upstream)) == best);
-    preferred.map(|upstream| upstream.id.clone()).collect()
+    let usable = usable_upstreams(node, request, retry_state, admission);
+    let tried = &retry_state.tried_upstreams;
+    untried_instances(usable, tried, &node.outlier_detector.borrow(), node.now())
 }
 
 /// Chooses the instance with the lowest cost by what this host has seen, preferring those that were
