--- a/crates/rail_admit/src/queue.rs
+++ b/crates/rail_admit/src/queue.rs
@@ -52,8 +52,8 @@
     pub max_requests: usize,
     /// Most bytes that the waiting requests may use.
     pub max_bytes: usize,
-    /// Requests that the engine runs at once. The estimate for a new request assumes that all of them
-    /// must finish before it.
+    /// Requests that the engine runs at once. The estimate for a new request assumes that all of
+    /// them must finish before it.
     pub engine_slots: usize,
     /// Time before its deadline from which a deferrable request counts as urgent, but at most
     /// a quarter of the time from its arrival to its deadline.
--- a/crates/rail_dispatch/src/dispatcher.rs
+++ b/crates/rail_dispatch/src/dispatcher.rs
@@ -26,8 +26,8 @@
 /// Share of the time until a request is late by which an instance in another availability zone must
 /// be quicker to be chosen.
 const OTHER_ZONE_SHARE: f64 = 0.02;
-/// Longest expected run, as a share of the time until the request is late, on an instance whose speed
-/// is not known any more.
+/// Longest expected run, as a share of the time until the request is late, on an instance whose
+/// speed is not known any more.
 const MAX_PROBE_SHARE: f64 = 0.7;
 /// Part of the capacity that requests may use which come back after a refusal.
 const RETURNING_SHARE: f64 = 0.5;
@@ -170,8 +170,8 @@
         }
     }
 
-    /// Returns the time after which a request that is refused now may come back. Each one gets a later
-    /// time than the one before it, so that they don't come back all at once.
+    /// Returns the time after which a request that is refused now may come back. Each one gets a
+    /// later time than the one before it, so that they don't come back all at once.
     pub fn refuse(&mut self, now: Duration) -> Duration {
         let backlog = self.waiting.len() as f64 / self.runs_per_ms(now);
         let interval_ms = 1.0 / (self.runs_per_ms(now) * RETURNING_SHARE);
@@ -218,8 +218,8 @@
         changes
     }
 
-    /// Returns the instance with room on which a request is expected to end first. If one without room
-    /// would still end it sooner, behind all that wait, the request goes on waiting.
+    /// Returns the instance with room on which a request is expected to end first. If one without
+    /// room would still end it sooner, behind all that wait, the request goes on waiting.
     fn choose(&self, request: &RunRequest, now: Duration) -> Option<&UpstreamId> {
         let time_left_ms = request.late_at.saturating_sub(now).as_secs_f64() * 1000.0;
         let mut best: Option<(f64, &UpstreamId)> = None;
--- a/crates/rail_dispatch/src/instance.rs
+++ b/crates/rail_dispatch/src/instance.rs
@@ -81,8 +81,8 @@
     pub(crate) is_ready: bool,
     /// Runs in progress that this dispatcher has started.
     pub(crate) in_flight: u32,
-    /// Difference between reported and known requests, and the time of the last report. It is positive
-    /// where others send requests, and negative for runs whose messages are on their way.
+    /// Difference between reported and known requests, and the time of the last report. It is
+    /// positive where others send requests, and negative for runs whose messages are on their way.
     unknown: (f64, Duration),
     failure_rate: f64,
     paused_until: Duration,
--- a/crates/rail_dispatch/src/lib.rs
+++ b/crates/rail_dispatch/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! One host dispatches a service for all hosts: [`rank_dispatchers`] names it, and its
 //! [`Dispatcher`] tracks every run in progress, queues requests while no instance has room, and
-//! refuses what can't start in time. [`WorkTime`] learns how long work takes on an instance from the
-//! ends of runs ([`RunEnd`]) and from the [`Pace`] that instances report. Without a dispatcher a host
-//! chooses by what it has seen itself ([`UpstreamLoads`]).
+//! refuses what can't start in time. [`WorkTime`] learns how long work takes on an instance from
+//! the ends of runs ([`RunEnd`]) and from the [`Pace`] that instances report. Without a dispatcher
+//! a host chooses by what it has seen itself ([`UpstreamLoads`]).
 //!
 //! The caller passes in the current time; nothing here does I/O or reads a clock.
 
--- a/crates/rail_dispatch/src/work_time.rs
+++ b/crates/rail_dispatch/src/work_time.rs
@@ -107,7 +107,8 @@
         })
     }
 
-    /// Returns the expected time of a run that starts now, in milliseconds; `None` before the first.
+    /// Returns the expected time of a run that starts now, in milliseconds; `None` before the
+    /// first.
     pub fn expected_ms(&self, now: Duration) -> Option<f64> {
         self.usual.map(|(mean_ms, _)| mean_ms * self.factor(now))
     }
--- a/crates/rail_dispatch/tests/replay/mod.rs
+++ b/crates/rail_dispatch/tests/replay/mod.rs
@@ -1,5 +1,5 @@
-//! Replays load on a plain service, without a network: hosts, ways between them, and instances whose
-//! speed changes.
+//! Replays load on a plain service, without a network: hosts, ways between them, and instances
+//! whose speed changes.
 
 use rail_dispatch::{
     Arrival, Dispatcher, LoadGuard, LoadReport, Pace, RunEnd, RunId, RunOutcome, RunRequest,
--- a/crates/rail_dispatch/tests/uneven_load.rs
+++ b/crates/rail_dispatch/tests/uneven_load.rs
@@ -72,7 +72,8 @@
     }
 }
 
-/// Demand beyond all slots for seconds: who can still be in time goes first, so that not all are late.
+/// Demand beyond all slots for seconds: who can still be in time goes first, so that not all are
+/// late.
 #[test]
 fn beyond_all_slots_fewer_are_late_or_refused() {
     let overload = Load { burst: 2.2, wave: 0.55, ..NOISE };
@@ -110,7 +111,8 @@
     assert!(killed.p99_wait <= before.p99_wait, "{killed:?} {before:?}");
 }
 
-/// The other way that was weighed: reports shared twice a second send all hosts to the same instance.
+/// The other way that was weighed: reports shared twice a second send all hosts to the same
+/// instance.
 #[test]
 fn shared_reports_are_worse_than_a_dispatcher() {
     let shared = mean_of(NOISE, Policy::Shared);
--- a/crates/rail_hedge/src/answer_times.rs
+++ b/crates/rail_hedge/src/answer_times.rs
@@ -17,8 +17,8 @@
 const SIGNIFICANT_DIGITS: u8 = 2;
 /// Answers are slow from this share of all on, even where more second attempts were allowed.
 const MAX_SLOW_SHARE: f64 = 0.05;
-/// Part of the allowed share that slow answers make up on average, so that the rest is left for times
-/// with more of them.
+/// Part of the allowed share that slow answers make up on average, so that the rest is left for
+/// times with more of them.
 const USED_PART: f64 = 0.75;
 /// Time for which a computed quantile is used.
 const QUANTILE_LIFETIME: Duration = Duration::from_millis(250);
--- a/crates/rail_hedge/src/decision.rs
+++ b/crates/rail_hedge/src/decision.rs
@@ -74,8 +74,8 @@
 /// Decides whether a request whose answer is slow gets a second attempt.
 ///
 /// Load pattern: a few answers take many times as long as the others, while upstreams have room.
-/// Where all answers are slow, upstreams lack room or the share is used up, so second attempts never
-/// add to an overload.
+/// Where all answers are slow, upstreams lack room or the share is used up, so second attempts
+/// never add to an overload.
 ///
 /// # Errors
 /// Returns why it gets none.
--- a/crates/rail_lease/src/return_guard.rs
+++ b/crates/rail_lease/src/return_guard.rs
@@ -7,8 +7,8 @@
 //! which every lease of before ends.
 //!
 //! The copy may lack hosts, too, so a process that starts after the return can't know which hosts
-//! there are. Only one that knew the hosts before the return can tell that all have read the records.
-//! It confirms that to the others.
+//! there are. Only one that knew the hosts before the return can tell that all have read the
+//! records. It confirms that to the others.
 //!
 //! An ownership record names the era in which it was claimed. A process that restarts goes on with
 //! a record of the current era, and claims one of an earlier era again. All times are of a clock
@@ -89,8 +89,8 @@
         is_return
     }
 
-    /// Records that an ownership record names an earlier era. If this process has noticed no return,
-    /// it happened before its start, at an unknown time.
+    /// Records that an ownership record names an earlier era. If this process has noticed no
+    /// return, it happened before its start, at an unknown time.
     pub fn record_earlier_claim(&mut self, now: Duration) {
         self.last_return.get_or_insert_with(|| Return {
             noticed_at: now,
@@ -158,9 +158,9 @@
         self.era.filter(|_| !has_ended).map(|era| (era, last_return.noticed_at))
     }
 
-    /// Records that an earlier process on this machine noticed an era at this time of the same clock.
-    /// A machine that was started anew since has a clock that began later, so it waits for longer
-    /// than necessary.
+    /// Records that an earlier process on this machine noticed an era at this time of the same
+    /// clock. A machine that was started anew since has a clock that began later, so it waits for
+    /// longer than necessary.
     pub fn record_noticed(&mut self, era: Era, noticed_at: Duration) {
         let is_current = self.era == Some(era);
         if let Some(last_return) = self.last_return.as_mut().filter(|_| is_current) {
@@ -177,8 +177,8 @@
         })
     }
 
-    /// Returns whether this host may order a resource whose ownership record names it, under a valid
-    /// lease.
+    /// Returns whether this host may order a resource whose ownership record names it, under a
+    /// valid lease.
     pub fn may_order(&self, resource: &str, claimed_in: Era) -> bool {
         let keeps = |last_return: &Return| last_return.kept.contains(resource);
         claimed_in >= self.era() || self.last_return.as_ref().is_some_and(keeps)
--- a/crates/rail_lease/tests/return_guard.rs
+++ b/crates/rail_lease/tests/return_guard.rs
@@ -79,8 +79,8 @@
     assert_eq!(Revision::new(0, 41).fence(), 41);
 }
 
-/// Guards against a host that starts after the store's return and claims at once what its owner, whose
-/// record the copy lacks, keeps under its lease (soak seeds 5308 to 5310).
+/// Guards against a host that starts after the store's return and claims at once what its owner,
+/// whose record the copy lacks, keeps under its lease (soak seeds 5308 to 5310).
 #[test]
 fn a_host_that_starts_after_the_stores_return_waits_before_it_claims() {
     let mut starting = ReturnGuard::new(TTL, ORDER_DELAY);
--- a/crates/rail_limit/src/issuer.rs
+++ b/crates/rail_limit/src/issuer.rs
@@ -4,8 +4,8 @@
 use rail_place::{TokenBucket, rank_engines};
 use std::{collections::HashMap, time::Duration};
 
-/// Rate at which requests go to an upstream that names less, so that its answers can tell of the end
-/// of its limit.
+/// Rate at which requests go to an upstream that names less, so that its answers can tell of the
+/// end of its limit.
 const MIN_RATE_PER_S: f64 = 0.3;
 /// Permits that may be issued at once.
 const MIN_BURST: f64 = 2.0;
--- a/crates/rail_limit/src/known.rs
+++ b/crates/rail_limit/src/known.rs
@@ -33,7 +33,8 @@
 }
 
 impl KnownLimits {
-    /// Records what an answer that has just arrived says, and returns whether the limit has changed.
+    /// Records what an answer that has just arrived says, and returns whether the limit has
+    /// changed.
     pub fn record_answer(
         &mut self,
         start: &LimitKey,
--- a/crates/rail_limit/src/pause.rs
+++ b/crates/rail_limit/src/pause.rs
@@ -20,8 +20,8 @@
 }
 
 impl Refusal {
-    /// Returns for how long this host sends the upstream nothing, if it has to pause. Each of the live
-    /// hosts may cause one refusal in a pause.
+    /// Returns for how long this host sends the upstream nothing, if it has to pause. Each of the
+    /// live hosts may cause one refusal in a pause.
     pub fn pause(self, live_hosts: usize) -> Option<Duration> {
         let [min_pause, max_pause] = BRITTLE_PAUSE;
         let asked = self.retry_after.map(|time| time.min(MAX_PAUSE));
--- a/crates/rail_limit/src/rate.rs
+++ b/crates/rail_limit/src/rate.rs
@@ -13,7 +13,8 @@
 const MAX_PER_S: f64 = 1e6;
 
 impl RequestRate {
-    /// Creates a rate from requests a second. Returns `None` if that isn't a number, or is negative.
+    /// Creates a rate from requests a second. Returns `None` if that isn't a number, or is
+    /// negative.
     pub fn per_second(requests_per_s: f64) -> Option<Self> {
         let is_rate = requests_per_s.is_finite() && requests_per_s >= 0.0;
         is_rate.then(|| Self { micros_per_s: (requests_per_s.min(MAX_PER_S) * 1e6).round() as u64 })
--- a/crates/rail_limit/tests/fleet_model.rs
+++ b/crates/rail_limit/tests/fleet_model.rs
@@ -147,8 +147,8 @@
         self.hosts[other].runs(now) && !are_apart(host, other) && !are_apart(other, host)
     }
 
-    /// Returns the hosts of which this one has a recent heartbeat; each pair of hosts notices a change
-    /// after another time.
+    /// Returns the hosts of which this one has a recent heartbeat; each pair of hosts notices a
+    /// change after another time.
     fn live_hosts(&self, host: usize, now: Duration) -> Vec<usize> {
         let is_live = |other: &usize| {
             let lag = (host * 7 + other * 13) % 10;
--- a/crates/rail_limit/tests/statements.rs
+++ b/crates/rail_limit/tests/statements.rs
@@ -16,7 +16,8 @@
     Duration::from_millis(time_ms)
 }
 
-/// Guards against a limit that is taken from a text which names none, and one that such a text ends.
+/// Guards against a limit that is taken from a text which names none, and one that such a text
+/// ends.
 #[test]
 fn an_odd_text_sets_or_ends_a_limit() {
     let read = |values: &[&str]| LimitStatement::read(values.iter().map(|value| Some(*value)));
--- a/crates/rail_member/src/confirmation.rs
+++ b/crates/rail_member/src/confirmation.rs
@@ -28,8 +28,9 @@
     }
 }
 
-/// Returns the milliseconds from the receipt of a request to a later time of the same clock, given in
-/// whole milliseconds. Rounded down, so that nobody takes what is said then for later than it is.
+/// Returns the milliseconds from the receipt of a request to a later time of the same clock, given
+/// in whole milliseconds. Rounded down, so that nobody takes what is said then for later than it
+/// is.
 pub fn millis_since(received_at: Duration, at_ms: u64) -> u64 {
     at_ms.saturating_sub(millis_rounded_up(received_at))
 }
--- a/crates/rail_member/src/entry_share.rs
+++ b/crates/rail_member/src/entry_share.rs
@@ -2,8 +2,8 @@
 //!
 //! Callers choose among the listed hosts at random, so a host's share is the part of the lists that
 //! contain it. Each host is listed in its own availability zone; a host that is smaller than the
-//! largest one is left out of the lists of some other zones. The choice depends on the host, the zone
-//! and their capacities alone: a list that changed from one answer to the next would close
+//! largest one is left out of the lists of some other zones. The choice depends on the host, the
+//! zone and their capacities alone: a list that changed from one answer to the next would close
 //! connections of callers.
 
 use crate::host_heartbeat::HostHeartbeat;
@@ -13,8 +13,8 @@
 /// Fewest hosts that are listed, if there are as many.
 const MIN_LISTED_HOSTS: usize = 12;
 
-/// Removes hosts that callers of a zone should not use, so that hosts get callers in proportion to their
-/// capacity. Hosts of equal capacity all stay.
+/// Removes hosts that callers of a zone should not use, so that hosts get callers in proportion to
+/// their capacity. Hosts of equal capacity all stay.
 pub(crate) fn keep_by_capacity(hosts: &mut Vec<&HostHeartbeat>, zone: &str) {
     let largest = hosts.iter().map(|host| host.capacity_milli).max().unwrap_or(0);
     let zones: BTreeSet<&str> = hosts.iter().map(|host| host.zone.as_str()).collect();
@@ -33,8 +33,8 @@
     f64::from(host.capacity_milli) / f64::from(largest.max(1))
 }
 
-/// Returns whether a host is listed in a zone that is not its own: in so many of the other zones that
-/// it is in its share of all lists.
+/// Returns whether a host is listed in a zone that is not its own: in so many of the other zones
+/// that it is in its share of all lists.
 fn is_listed_elsewhere(host: &HostHeartbeat, zone: &str, share: f64, other_zones: usize) -> bool {
     if other_zones == 0 {
         return true;
--- a/crates/rail_member/src/host_heartbeat.rs
+++ b/crates/rail_member/src/host_heartbeat.rs
@@ -181,8 +181,8 @@
         live.map(|known_host| &known_host.heartbeat)
     }
 
-    /// Returns whether every known host, and every host named, has read the owners of engines from an
-    /// era of the store or a later one.
+    /// Returns whether every known host, and every host named, has read the owners of engines from
+    /// an era of the store or a later one.
     pub fn have_all_read_owners<'a>(
         &self,
         era: Era,
--- a/crates/rail_member/src/partners.rs
+++ b/crates/rail_member/src/partners.rs
@@ -1,8 +1,8 @@
 //! Choice of the hosts with which a host exchanges heartbeats.
 //!
 //! An exchange carries a row a host, so exchanges with random hosts of all zones fill the links
-//! between zones as the fleet grows. Most exchanges stay within the zone; enough cross zones that news
-//! of a host reaches all others as fast as with random ones.
+//! between zones as the fleet grows. Most exchanges stay within the zone; enough cross zones that
+//! news of a host reaches all others as fast as with random ones.
 
 use crate::host_heartbeat::{HostHeartbeat, HostView};
 use rand::{Rng, seq::IteratorRandom};
@@ -17,8 +17,8 @@
 const CROSS_ZONE_SHARE: f64 = 0.5;
 
 impl HostView {
-    /// Chooses the hosts for one round of exchanges: one of the own zone, and one of another zone or
-    /// a second one of the own. One of another zone comes first.
+    /// Chooses the hosts for one round of exchanges: one of the own zone, and one of another zone
+    /// or a second one of the own. One of another zone comes first.
     pub fn choose_partners(
         &self,
         own: &str,
--- a/crates/rail_member/src/refresh.rs
+++ b/crates/rail_member/src/refresh.rs
@@ -22,8 +22,8 @@
 pub const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which a host keeps a question open when its own records are not recent.
 pub const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time within which hosts know the owner of an engine; until then they learn from the refusal of the
-/// earlier owner that it has changed.
+/// Time within which hosts know the owner of an engine; until then they learn from the refusal of
+/// the earlier owner that it has changed.
 const OWNER_BOUND: Duration = Duration::from_secs(10);
 /// Hosts that are asked in the first round; each further round asks twice as many.
 const FIRST_ROUND_HOSTS: usize = 4;
@@ -57,8 +57,8 @@
         RefreshBudget { bound }
     }
 
-    /// Returns whether a host with records of some ages has news for one that asked `waited` ago and
-    /// named the ages of its own: a kind that is old there is more recent here.
+    /// Returns whether a host with records of some ages has news for one that asked `waited` ago
+    /// and named the ages of its own: a kind that is old there is more recent here.
     pub fn has_news(&self, here: &RecordAges, there: &RecordAges, waited: Duration) -> bool {
         RecordKind::ALL.into_iter().any(|kind| {
             let budget = self.budget(kind);
--- a/crates/rail_member/src/replica.rs
+++ b/crates/rail_member/src/replica.rs
@@ -108,8 +108,8 @@
         PutOutcome::Changed
     }
 
-    /// Removes a record that was gone at a revision, and reports whether it was there. A record that
-    /// was created again since stays.
+    /// Removes a record that was gone at a revision, and reports whether it was there. A record
+    /// that was created again since stays.
     pub fn remove(&mut self, name: &str, revision: Revision) -> bool {
         if revision > self.revision {
             let removed_at = self.removed.entry(name.to_owned()).or_default();
--- a/crates/rail_member/src/source.rs
+++ b/crates/rail_member/src/source.rs
@@ -87,7 +87,8 @@
     /// Chooses a source among the live hosts, which include this one.
     ///
     /// A parent whose records are old is chosen only while no host has recent ones, as at the start
-    /// of the fleet. A host that reaches the store itself follows it rather than search for another.
+    /// of the fleet. A host that reaches the store itself follows it rather than search for
+    /// another.
     pub fn choose(
         &mut self,
         live: &[SourceCandidate],
@@ -118,8 +119,8 @@
         self.nearest_fresh(live).map_or(Source::Store, |host| Source::Host(host.to_owned()))
     }
 
-    /// Returns whether this host is a root that can use the store. The other hosts rely on it, so it
-    /// does not stay at another source that works.
+    /// Returns whether this host is a root that can use the store. The other hosts rely on it, so
+    /// it does not stay at another source that works.
     pub fn must_follow_store(
         &self,
         live: &[SourceCandidate],
--- a/crates/rail_member/tests/record_refresh.rs
+++ b/crates/rail_member/tests/record_refresh.rs
@@ -93,8 +93,8 @@
     awake.map(|host| informed_at[host].unwrap_or(Duration::MAX)).max().unwrap_or_default()
 }
 
-/// Guards against hosts that learn of a change too late when the sources of most hosts fail at once,
-/// fall silent or freeze, so that they ask hosts that know no more than they do.
+/// Guards against hosts that learn of a change too late when the sources of most hosts fail at
+/// once, fall silent or freeze, so that they ask hosts that know no more than they do.
 #[test]
 fn a_change_reaches_some_host_too_late_when_most_hosts_lose_the_store() {
     for (hosts, seeds, bound) in [(3, 400, 2000), (9, 400, 2000), (74, 40, 2000), (380, 3, 2000)] {
@@ -132,8 +132,8 @@
     running_time.at(start + silence)
 }
 
-/// Guards against removed upstreams that hosts keep for longer because a host that stood still takes
-/// its own old records for an outage of the store.
+/// Guards against removed upstreams that hosts keep for longer because a host that stood still
+/// takes its own old records for an outage of the store.
 #[test]
 fn a_host_that_stood_still_ends_an_outage_that_never_was() {
     let budget = BOUNDS.budget(RecordKind::Upstreams);
--- a/crates/rail_member/tests/record_sources.rs
+++ b/crates/rail_member/tests/record_sources.rs
@@ -171,8 +171,8 @@
     is_wrong(&replica, history)
 }
 
-/// Guards against requests to an upstream that has left, because a host that lags behind tells of it
-/// again after its removal.
+/// Guards against requests to an upstream that has left, because a host that lags behind tells of
+/// it again after its removal.
 #[test]
 fn an_older_source_restores_a_removed_upstream() {
     let mut wrong = Vec::new();
--- a/crates/rail_member/tests/small_hosts.rs
+++ b/crates/rail_member/tests/small_hosts.rs
@@ -345,7 +345,8 @@
     assert_eq!(chooser.choose(&live, answers, ms(6001)), Source::Store, "it answers again");
 }
 
-/// Guards against hosts that tell each other ages in a circle, in which records stay young for ever.
+/// Guards against hosts that tell each other ages in a circle, in which records stay young for
+/// ever.
 #[test]
 fn ages_told_in_a_circle_do_not_grow() {
     let mut hosts = [Confirmations::default(), Confirmations::default()];
--- a/crates/rail_memory/src/account.rs
+++ b/crates/rail_memory/src/account.rs
@@ -128,8 +128,8 @@
         MemoryHold { account: self.clone(), holder, bytes: 0, arrival: None }
     }
 
-    /// Starts a hold of nothing for a request whose body is arriving. Until the end of the arrival it
-    /// may have to give way.
+    /// Starts a hold of nothing for a request whose body is arriving. Until the end of the arrival
+    /// it may have to give way.
     pub fn start_arrival(&self, caller: IpAddr, now: Duration) -> MemoryHold {
         let arrival = self.state.borrow_mut().arrivals.start(caller, now);
         let account = self.clone();
@@ -168,8 +168,8 @@
         Ok(())
     }
 
-    /// Changes the size of the hold of an arrival to `bytes`. If memory is short, waits until others
-    /// have given way.
+    /// Changes the size of the hold of an arrival to `bytes`. If memory is short, waits until
+    /// others have given way.
     ///
     /// # Errors
     /// [`Shortage`] if too little memory is held by arrivals that give way to this one.
--- a/crates/rail_memory/src/connections.rs
+++ b/crates/rail_memory/src/connections.rs
@@ -84,8 +84,8 @@
 }
 
 impl Connections {
-    /// Returns the connection that is closed for a new one: one that was quiet for some time, of the
-    /// caller with the most connections, and of those the one that was quiet for longest.
+    /// Returns the connection that is closed for a new one: one that was quiet for some time, of
+    /// the caller with the most connections, and of those the one that was quiet for longest.
     fn choose_displaced(&self, now: Duration) -> Option<Rc<Connection>> {
         if self.closing >= MAX_CLOSING {
             return None;
--- a/crates/rail_origin/src/knowledge.rs
+++ b/crates/rail_origin/src/knowledge.rs
@@ -64,8 +64,8 @@
         self.is_alone || (self.replied > 0 && self.replied >= self.silent)
     }
 
-    /// Returns whether other hosts would have told of another version although the records of all are
-    /// old, as while the store is away.
+    /// Returns whether other hosts would have told of another version although the records of all
+    /// are old, as while the store is away.
     fn confirm_presumed_version(self) -> bool {
         self.replied >= MIN_CONFIRMING_HOSTS && self.replied > self.silent && self.unaware == 0
     }
--- a/crates/rail_origin/src/lib.rs
+++ b/crates/rail_origin/src/lib.rs
@@ -6,11 +6,11 @@
 //!
 //! * [`SoftwarePin`] says which versions may answer a request.
 //! * [`OriginTable`] remembers at which version streams began.
-//! * [`SeenVersions`] remembers which versions served lately. While that is one, every stream began at
-//!   it, and nothing has to be told.
+//! * [`SeenVersions`] remembers which versions served lately. While that is one, every stream began
+//!   at it, and nothing has to be told.
 //! * [`OriginJournal`] is what a keeper stores of them.
-//! * [`OriginKnowledge`] is what one host knows about a stream; hosts combine it, and [`decide`] says
-//!   where the stream goes on.
+//! * [`OriginKnowledge`] is what one host knows about a stream; hosts combine it, and [`decide`]
+//!   says where the stream goes on.
 
 pub mod journal;
 pub mod keepers;
--- a/crates/rail_origin/src/table.rs
+++ b/crates/rail_origin/src/table.rs
@@ -35,8 +35,8 @@
 }
 
 impl OriginTable {
-    /// Records at which version a stream began; returns whether that is new. What was recorded first
-    /// stands.
+    /// Records at which version a stream began; returns whether that is new. What was recorded
+    /// first stands.
     pub fn record(&mut self, stream: StreamKey, software: &str, now: Duration) -> bool {
         if self.origins.contains_key(&stream) {
             return false;
--- a/crates/rail_origin/src/versions.rs
+++ b/crates/rail_origin/src/versions.rs
@@ -26,8 +26,8 @@
     }
 
     /// Returns what follows for a stream that is not recorded, at a time since the start of this
-    /// process. `are_records_recent` is whether the records of upstreams would show a version that has
-    /// joined.
+    /// process. `are_records_recent` is whether the records of upstreams would show a version that
+    /// has joined.
     pub fn knowledge(
         &self,
         service: &str,
--- a/crates/rail_origin/tests/fleet.rs
+++ b/crates/rail_origin/tests/fleet.rs
@@ -280,9 +280,9 @@
     }
 }
 
-/// Guards against a host that is cut off while a version joins, and lets streams of that version go on
-/// at the one it knows; against the same of keepers that are cut off; and against refusals by hosts in
-/// step.
+/// Guards against a host that is cut off while a version joins, and lets streams of that version go
+/// on at the one it knows; against the same of keepers that are cut off; and against refusals by
+/// hosts in step.
 #[test]
 fn hosts_out_of_step_join_no_streams_of_a_version_that_has_joined() {
     for hosts in [3, 7, 74] {
--- a/crates/rail_origin/tests/origin.rs
+++ b/crates/rail_origin/tests/origin.rs
@@ -42,8 +42,8 @@
     }
 }
 
-/// Guards against a restarted host that takes the version which it sees for the only one, and against
-/// a version that counts as gone while its streams may still be resumed.
+/// Guards against a restarted host that takes the version which it sees for the only one, and
+/// against a version that counts as gone while its streams may still be resumed.
 #[test]
 fn a_version_is_the_only_one_after_streams_of_others_have_ended() {
     let mut seen = SeenVersions::default();
@@ -62,8 +62,9 @@
     assert_eq!(seen.knowledge("s", RETENTION * 3, true), only("a"));
 }
 
-/// Guards against a host that is cut off or stood still, which takes the version it knows for the only
-/// one, and against refusals of hosts in step of which one or two others have just been killed.
+/// Guards against a host that is cut off or stood still, which takes the version it knows for the
+/// only one, and against refusals of hosts in step of which one or two others have just been
+/// killed.
 #[test]
 fn a_version_is_the_only_one_if_other_hosts_confirm_it() {
     let asked = |replied, silent| AskedHosts { replied, silent, ..AskedHosts::default() };
--- a/crates/rail_request/src/quarantine.rs
+++ b/crates/rail_request/src/quarantine.rs
@@ -8,8 +8,8 @@
 //! A record is about one request or about a part of prompts, which many requests share. Of
 //! the requests with a quarantined part one runs as a trial in each [`PART_QUARANTINE_DURATION`].
 //!
-//! Whether an upstream ended may stay unknown for seconds. Until then its end is suspected: it makes
-//! the request a suspect, and holds it back once suspected and proven ends together reach the
+//! Whether an upstream ended may stay unknown for seconds. Until then its end is suspected: it
+//! makes the request a suspect, and holds it back once suspected and proven ends together reach the
 //! limit. Only proven ends condemn a request for long.
 
 use crate::{fingerprint::Fingerprint, quarantine_key::KeyKind};
@@ -24,8 +24,8 @@
 pub const QUARANTINE_DURATION: Duration = Duration::from_secs(24 * 3600);
 /// Time for which requests with a quarantined part of prompts are refused.
 pub const PART_QUARANTINE_DURATION: Duration = Duration::from_secs(15 * 60);
-/// Time from the first end under a part of prompts to its first trial. Requests with the part that run
-/// already end their upstreams within it, or clear the part.
+/// Time from the first end under a part of prompts to its first trial. Requests with the part that
+/// run already end their upstreams within it, or clear the part.
 const PART_SETTLING_TIME: Duration = Duration::from_secs(1);
 /// Time for which a request that crashed once runs only as a trial, since its crash or the start of
 /// its last trial.
@@ -103,8 +103,8 @@
     /// Whether the request ran there as a trial.
     #[serde(default)]
     pub is_trial: bool,
-    /// Time at which the loss was noticed, on the clock of whoever keeps the record; in messages the
-    /// time since then.
+    /// Time at which the loss was noticed, on the clock of whoever keeps the record; in messages
+    /// the time since then.
     #[serde(default)]
     pub noticed_at_ms: u64,
 }
--- a/crates/rail_request/src/quarantine_table.rs
+++ b/crates/rail_request/src/quarantine_table.rs
@@ -1,14 +1,15 @@
 //! Bounded table of quarantine records that hosts exchange without a shared store.
 //!
 //! Hosts merge each other's records: of two records of one request the one that was cleared more
-//! often is newer; if both were cleared equally often, their ends are united. Times are kept on the clock of each host; messages
-//! carry the age of a record instead.
+//! often is newer; if both were cleared equally often, their ends are united. Times are kept on the
+//! clock of each host; messages carry the age of a record instead.
 //!
 //! Trials run beside other requests, so a crash does not prove which request caused it. Two rules
 //! keep other requests from being condemned: a request that runs to its end is cleared, and the
 //! trial that may condemn a request shares its upstream with no other such trial and with no trial
 //! of a part of prompts. A part of prompts
-//! with which any request ran to its end, before or after, is cleared too and never suspected again.
+//! with which any request ran to its end, before or after, is cleared too and never suspected
+//! again.
 
 use crate::{
     fingerprint::Fingerprint,
@@ -76,8 +77,9 @@
 
     /// Decides about a request from all its keys, in the order of its prompt. Of several
     /// suspects the last one is tried: the further on in a prompt a part stands, the fewer requests
-    /// share it, so the less likely others have cleared it, and the fewer wait while it is tried. But a
-    /// request that itself ended an upstream before and comes again is more to blame than its parts.
+    /// share it, so the less likely others have cleared it, and the fewer wait while it is tried.
+    /// But a request that itself ended an upstream before and comes again is more to blame than its
+    /// parts.
     pub fn decide_all(&self, keys: &[QuarantineKey], now_ms: u64) -> KeysDecision {
         let (mut suspect, mut suspected_request) = (None, None);
         for key in keys {
@@ -175,8 +177,8 @@
         }
     }
 
-    /// Records the end of an upstream while a call ran the request there. All ends outside trials count
-    /// as one crash. A trial that was given up before the end was known counts
+    /// Records the end of an upstream while a call ran the request there. All ends outside trials
+    /// count as one crash. A trial that was given up before the end was known counts
     /// unless another crash was recorded since its start, or a later trial of another request ended
     /// the upstream.
     /// A run that was sent to an upstream which had ended or fallen silent already is not to blame.
@@ -256,7 +258,8 @@
         self.store(next)
     }
 
-    /// Returns whether any request noticed the end of an upstream so lately that it may not be back.
+    /// Returns whether any request noticed the end of an upstream so lately that it may not be
+    /// back.
     fn has_ended_lately(&self, upstream: &str, now_ms: u64) -> bool {
         let mut known = self.records.values().flat_map(|record| &record.ends);
         known.any(|known| {
@@ -411,8 +414,9 @@
         if is_quarantined { TableChange::Quarantined } else { TableChange::Changed }
     }
 
-    /// Makes room for a record: if the table is full, evicts the record that matters least, which is
-    /// the one with the fewest crashes, then that of a request, then the oldest. Returns `false` if that is the new one.
+    /// Makes room for a record: if the table is full, evicts the record that matters least, which
+    /// is the one with the fewest crashes, then that of a request, then the oldest. Returns `false`
+    /// if that is the new one.
     fn make_room(&mut self, new: &QuarantineRecord) -> bool {
         if self.records.len() < MAX_RECORDS || self.records.contains_key(&new.fingerprint) {
             return true;
--- a/crates/rail_request/src/upstream_ends.rs
+++ b/crates/rail_request/src/upstream_ends.rs
@@ -5,8 +5,8 @@
 
 /// Ends of upstreams in trials that a record names; further ones add nothing.
 const MAX_TRIAL_ENDS: usize = 6;
-/// Other ends that a record names. All of them count as one crash, but show which upstreams had ended
-/// before other requests were sent there.
+/// Other ends that a record names. All of them count as one crash, but show which upstreams had
+/// ended before other requests were sent there.
 const MAX_OTHER_ENDS: usize = 6;
 /// Turns the time of an end into its age, or the age into the time.
 pub(crate) fn switch_clock(end: &UpstreamEnd, now_ms: u64) -> UpstreamEnd {
--- a/crates/rail_request/tests/quarantine_parts.rs
+++ b/crates/rail_request/tests/quarantine_parts.rs
@@ -198,8 +198,8 @@
     }
 }
 
-/// Guards against sound parts that are refused because they ran beside the crashing one, and against
-/// a crashing part that ends upstream after upstream.
+/// Guards against sound parts that are refused because they ran beside the crashing one, and
+/// against a crashing part that ends upstream after upstream.
 #[test]
 fn sound_prompt_parts_are_refused_with_the_crashing_one() {
     for seed in 0..8 {
--- a/crates/rail_request/tests/quarantine_table.rs
+++ b/crates/rail_request/tests/quarantine_table.rs
@@ -323,8 +323,8 @@
         .quickcheck(hosts_agree as fn(Vec<(u8, u8, u8)>) -> bool);
 }
 
-/// Guards against a sound request that is condemned because it was sent, again and again, to upstreams
-/// that a crashing one had silenced before.
+/// Guards against a sound request that is condemned because it was sent, again and again, to
+/// upstreams that a crashing one had silenced before.
 #[test]
 fn requests_sent_to_upstreams_that_are_silent_already_are_condemned() {
     let (mut here, mut there) = (QuarantineTable::default(), QuarantineTable::default());
--- a/crates/rail_route/src/choose.rs
+++ b/crates/rail_route/src/choose.rs
@@ -12,8 +12,8 @@
 const MAX_TRIAL_CANDIDATES: usize = 8;
 
 /// Chooses the instance with the lowest cost: its utilization, plus its failure rate, plus
-/// a fixed cost outside `zone`. An ejected instance is chosen only if all others are ejected too, and
-/// one in `tried` only if all others were tried too, ejected ones included.
+/// a fixed cost outside `zone`. An ejected instance is chosen only if all others are ejected too,
+/// and one in `tried` only if all others were tried too, ejected ones included.
 ///
 /// `load` returns the number of requests on an instance, as far as this host knows.
 pub fn choose_instance<'a>(
@@ -38,8 +38,8 @@
     })
 }
 
-/// Returns the instances that may run a request next: ejected ones only if all others were tried, and
-/// those in `tried` only if all were.
+/// Returns the instances that may run a request next: ejected ones only if all others were tried,
+/// and those in `tried` only if all were.
 pub fn preferred_instances(
     instances: &[Arc<Upstream>],
     tried: &[UpstreamId],
@@ -67,8 +67,8 @@
     instances
 }
 
-/// Returns the instances that may run the trial of a request, the least loaded first. Ejected ones and
-/// those in `tried` come last.
+/// Returns the instances that may run the trial of a request, the least loaded first. Ejected ones
+/// and those in `tried` come last.
 ///
 /// `load` returns the number of requests on an instance, as far as this host knows.
 pub fn trial_candidates<'a>(
--- a/crates/rail_route/src/lib.rs
+++ b/crates/rail_route/src/lib.rs
@@ -2,11 +2,11 @@
 //!
 //! [`RouteTable`] is one accepted configuration: it maps a request to a [`Route`] and a service.
 //! [`UpstreamTable`] contains the registered upstreams, [`UpstreamReach`] tells whether this host
-//! reaches any, and [`OutlierDetector`] ejects those that fail too often. [`choose_instance`] chooses
-//! among the instances of a plain service. [`AttemptCounts`] decides whether a request is sent again,
-//! and [`RetryBudget`] limits retries over all hosts together. [`ObservedAdapters`] records which
-//! engines answered requests for which adapters. The caller passes in the current time; nothing here
-//! does I/O or reads a clock.
+//! reaches any, and [`OutlierDetector`] ejects those that fail too often. [`choose_instance`]
+//! chooses among the instances of a plain service. [`AttemptCounts`] decides whether a request is
+//! sent again, and [`RetryBudget`] limits retries over all hosts together. [`ObservedAdapters`]
+//! records which engines answered requests for which adapters. The caller passes in the current
+//! time; nothing here does I/O or reads a clock.
 
 pub mod budget;
 pub mod choose;
--- a/crates/rail_route/src/retry.rs
+++ b/crates/rail_route/src/retry.rs
@@ -33,8 +33,8 @@
 }
 
 impl AttemptCounts {
-    /// Returns whether a request is sent again after an attempt that failed in this way, which is not
-    /// counted yet. The retry budget is not considered.
+    /// Returns whether a request is sent again after an attempt that failed in this way, which is
+    /// not counted yet. The retry budget is not considered.
     pub fn may_retry(self, failure: AttemptFailure, route: &Route, time_left: Duration) -> bool {
         let max_sent = match failure {
             AttemptFailure::NotSent => return self.unsent + 1 < MAX_UNSENT_ATTEMPTS,
--- a/crates/rail_workspace/src/account.rs
+++ b/crates/rail_workspace/src/account.rs
@@ -106,8 +106,8 @@
 
 /// Accounts of one host, one a workspace.
 ///
-/// A host uses a quota on credit, up to a bound, and the issuer deducts it later; beyond that it asks
-/// first. Times are those of a clock that goes on while the machine sleeps.
+/// A host uses a quota on credit, up to a bound, and the issuer deducts it later; beyond that it
+/// asks first. Times are those of a clock that goes on while the machine sleeps.
 #[derive(Debug, Clone)]
 pub struct HostQuotas {
     host: String,
@@ -122,9 +122,9 @@
 }
 
 impl HostQuotas {
-    /// Creates empty accounts. `first_sequence` must be greater than any number of an earlier process
-    /// of the host. Half of the credit is used before `full_credit_from`: an earlier process may have
-    /// used the whole of it, and no issuer knows.
+    /// Creates empty accounts. `first_sequence` must be greater than any number of an earlier
+    /// process of the host. Half of the credit is used before `full_credit_from`: an earlier
+    /// process may have used the whole of it, and no issuer knows.
     pub fn new(host: &str, first_sequence: u64, full_credit_from: Duration) -> Self {
         Self {
             host: host.to_owned(),
@@ -139,8 +139,8 @@
         }
     }
 
-    /// Charges a request, of which at most `credit` units may be used before the issuer has deducted
-    /// them.
+    /// Charges a request, of which at most `credit` units may be used before the issuer has
+    /// deducted them.
     ///
     /// # Errors
     /// Returns why the request must wait or is refused.
@@ -240,8 +240,8 @@
         if is_active { ACTIVE } else { IDLE }
     }
 
-    /// Returns the next message, to the first issuer in `ranked` that replies. A host that is pledged
-    /// to another one releases that pledge first.
+    /// Returns the next message, to the first issuer in `ranked` that replies. A host that is
+    /// pledged to another one releases that pledge first.
     ///
     /// # Errors
     /// Returns the time until another issuer may be asked, if the current one is silent.
@@ -350,8 +350,8 @@
         }
     }
 
-    /// Keeps for a short time what was granted to waiting requests and not used by them, and removes
-    /// accounts without content.
+    /// Keeps for a short time what was granted to waiting requests and not used by them, and
+    /// removes accounts without content.
     pub fn finish_reply(&mut self, now: Duration) {
         for account in self.accounts.values_mut().filter(|account| account.unsettled < 0) {
             account.expire_spare(now);
--- a/crates/rail_workspace/src/issuer.rs
+++ b/crates/rail_workspace/src/issuer.rs
@@ -30,9 +30,9 @@
 
 /// Issues the quotas of all workspaces to the hosts that have pledged themselves to this one.
 ///
-/// Each host pledges itself to one issuer at a time. An issuer uses the share of every quota that is
-/// its pledged hosts over the known ones, so the issuers in parts of a divided fleet together use each
-/// quota once. Buckets start empty, since another issuer may have been at work until now.
+/// Each host pledges itself to one issuer at a time. An issuer uses the share of every quota that
+/// is its pledged hosts over the known ones, so the issuers in parts of a divided fleet together
+/// use each quota once. Buckets start empty, since another issuer may have been at work until now.
 #[derive(Debug, Clone)]
 pub struct QuotaIssuer {
     process: u64,
@@ -66,8 +66,8 @@
         self.pledged_hosts > 0
     }
 
-    /// Lets the buckets of all quotas fill until now. `known_hosts` is the number of hosts that may be
-    /// pledged to any issuer; `None` if it is not known yet, when nothing may be issued.
+    /// Lets the buckets of all quotas fill until now. `known_hosts` is the number of hosts that may
+    /// be pledged to any issuer; `None` if it is not known yet, when nothing may be issued.
     pub fn update<'a>(
         &mut self,
         quotas: impl Iterator<Item = (&'a WorkspaceName, Quota)>,
--- a/crates/rail_workspace/src/lib.rs
+++ b/crates/rail_workspace/src/lib.rs
@@ -1,9 +1,9 @@
 //! Workspaces that share a deployment.
 //!
 //! A [`Workspace`] is a group of callers with a priority and a [`Quota`] over all hosts together.
-//! [`WorkspaceTable`] finds it by the [`Key`] of a request, and [`access`] decides by the age of the
-//! configuration whether the key counts. [`HostQuotas`] is what one host uses of the quotas, and
-//! [`QuotaIssuer`] deducts it for all hosts.
+//! [`WorkspaceTable`] finds it by the [`Key`] of a request, and [`access`] decides by the age of
+//! the configuration whether the key counts. [`HostQuotas`] is what one host uses of the quotas,
+//! and [`QuotaIssuer`] deducts it for all hosts.
 //! The caller passes in the current time; nothing here does I/O or reads a clock.
 
 pub mod access;
--- a/crates/rail_workspace/src/message.rs
+++ b/crates/rail_workspace/src/message.rs
@@ -5,8 +5,8 @@
 /// 64-bit hash of a host's name, which stands for the name in messages.
 pub type HostKey = u64;
 
-/// A time on the clock of one process of an issuer. A host returns the last one that it received, so
-/// the issuer knows how old the host's pledge is, however long the message was on its way.
+/// A time on the clock of one process of an issuer. A host returns the last one that it received,
+/// so the issuer knows how old the host's pledge is, however long the message was on its way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct IssuerTime {
     /// Identity of the process.
@@ -24,7 +24,8 @@
     pub sequence: u64,
     /// Time in the last reply that the host received from this issuer.
     pub heard: Option<IssuerTime>,
-    /// Time after `heard` in which the host asks no other issuer, in milliseconds; 0 ends the pledge.
+    /// Time after `heard` in which the host asks no other issuer, in milliseconds; 0 ends the
+    /// pledge.
     pub pledge_ms: u32,
     /// Accounts with something to deduct or to request.
     pub accounts: Vec<AccountRequest>,
--- a/crates/rail_workspace/src/quota.rs
+++ b/crates/rail_workspace/src/quota.rs
@@ -47,8 +47,8 @@
     pub burst: f64,
 }
 
-/// How far a quota may be exceeded, as the operators set it: in any window the hosts together may use
-/// `(rate x window + burst) x (1 + excess) + slack`.
+/// How far a quota may be exceeded, as the operators set it: in any window the hosts together may
+/// use `(rate x window + burst) x (1 + excess) + slack`.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaTolerance {
     /// Length of the window.
@@ -67,8 +67,8 @@
     pub credit: f64,
     /// Units that the issuer's bucket holds beyond the burst.
     pub burst: f64,
-    /// Units by which the issuer's bucket may fall below zero, so that a large request need not wait
-    /// until others leave it room.
+    /// Units by which the issuer's bucket may fall below zero, so that a large request need not
+    /// wait until others leave it room.
     pub overdraft: f64,
     /// Time after which a charge is not given back any more.
     pub give_back_time: Duration,
--- a/crates/rail_workspace/src/workspace.rs
+++ b/crates/rail_workspace/src/workspace.rs
@@ -11,7 +11,8 @@
 pub struct Workspace {
     /// Name, unique in a configuration.
     pub name: WorkspaceName,
-    /// Priority of its requests in place of their route's, 0 is the highest; `None` keeps the route's.
+    /// Priority of its requests in place of their route's, 0 is the highest; `None` keeps the
+    /// route's.
     pub priority: Option<u8>,
     /// Limit of its requests over all hosts together; `None` if there is none.
     pub quota: Option<Quota>,
--- a/crates/rail_workspace/tests/fleet_model/model/failures.rs
+++ b/crates/rail_workspace/tests/fleet_model/model/failures.rs
@@ -72,8 +72,8 @@
         self.runs(other, now) && is_linked
     }
 
-    /// Returns the hosts that one sees as live, in the order in which they issue; each pair notices a
-    /// change after another time.
+    /// Returns the hosts that one sees as live, in the order in which they issue; each pair notices
+    /// a change after another time.
     pub fn ranked(&self, host: usize, now: Duration) -> Vec<&str> {
         let is_live = |other: &usize| {
             let lag = Duration::from_millis((host * 7 + other * 13) as u64 % 10 * 50);
--- a/crates/rail_workspace/tests/odd_figures.rs
+++ b/crates/rail_workspace/tests/odd_figures.rs
@@ -89,8 +89,8 @@
     }
 }
 
-/// Guards against a request that costs more than the burst and is refused although nothing else runs,
-/// and against one that runs again before it has been made up for.
+/// Guards against a request that costs more than the burst and is refused although nothing else
+/// runs, and against one that runs again before it has been made up for.
 #[test]
 fn a_request_beyond_the_burst_runs_as_a_debt() {
     let mut host = Host::new(quota(1000.0, 1000.0), TOLERANCE);
--- a/crates/rail_workspace/tests/revocation.rs
+++ b/crates/rail_workspace/tests/revocation.rs
@@ -1,5 +1,5 @@
-//! A host with the decision code, whose questions to the store are late, cut off early, lost and held
-//! up by freezes, against the bound of revocations.
+//! A host with the decision code, whose questions to the store are late, cut off early, lost and
+//! held up by freezes, against the bound of revocations.
 
 use rail_member::{Confirmations, RecordKind};
 use rail_workspace::{
@@ -14,8 +14,8 @@
 const LONGEST_WAIT_MS: u64 = 300;
 const DAY_MS: u64 = 30_000;
 
-/// An answer of the store, with times in milliseconds: the host records it when it is received, and it
-/// contains what the store had acknowledged when it was answered.
+/// An answer of the store, with times in milliseconds: the host records it when it is received, and
+/// it contains what the store had acknowledged when it was answered.
 struct Answer {
     asked: u64,
     answered: u64,
--- a/crates/tarragon_node/src/access.rs
+++ b/crates/tarragon_node/src/access.rs
@@ -16,8 +16,8 @@
 use std::{sync::Arc, time::Duration};
 use tokio::time::timeout;
 
-/// Longest time for which requests wait for a proof of their keys after this host has started or stood
-/// still. By then it has asked the store and other hosts.
+/// Longest time for which requests wait for a proof of their keys after this host has started or
+/// stood still. By then it has asked the store and other hosts.
 const MAX_PROOF_WAIT: Duration = Duration::from_millis(400);
 
 /// Waits for a recent configuration if this host has just started or stood still, where keys need a
@@ -75,8 +75,8 @@
     decide_again(table, key, age, &bounds, workspace)
 }
 
-/// Ends a request whose key does not count any more. If an earlier attempt may have run, the response
-/// must not state that the request did not run.
+/// Ends a request whose key does not count any more. If an earlier attempt may have run, the
+/// response must not state that the request did not run.
 pub fn refusal_response(
     node: &SharedNode,
     request: &CallerRequest,
--- a/crates/tarragon_node/src/caller_connection.rs
+++ b/crates/tarragon_node/src/caller_connection.rs
@@ -1,5 +1,5 @@
-//! Connection of a caller: bounds what is read ahead of its requests and what stays unsent, and ends
-//! with a reset if an answer that ends with it is not complete.
+//! Connection of a caller: bounds what is read ahead of its requests and what stays unsent, and
+//! ends with a reset if an answer that ends with it is not complete.
 
 use crate::connection_flow::{CloseCause, ConnectionFlow, ReadPermission};
 use rail_memory::MemoryHold;
@@ -134,8 +134,8 @@
         end.as_mut().poll(context).is_ready()
     }
 
-    /// Records the result of a write of `length` bytes. A caller that reads nothing for some time is
-    /// given up.
+    /// Records the result of a write of `length` bytes. A caller that reads nothing for some time
+    /// is given up.
     fn record_write(
         &mut self,
         context: &mut Context<'_>,
--- a/crates/tarragon_node/src/connection_flow.rs
+++ b/crates/tarragon_node/src/connection_flow.rs
@@ -17,8 +17,8 @@
 const HEAD_TURN_BYTES: usize = 8 << 10;
 /// Bytes that are read before the runtime decodes them, while a body arrives.
 const BODY_TURN_BYTES: usize = 16 << 10;
-/// Bytes that are read before the runtime decodes them, while a body arrives in chunks, each of which
-/// takes 32 bytes in the runtime's queue.
+/// Bytes that are read before the runtime decodes them, while a body arrives in chunks, each of
+/// which takes 32 bytes in the runtime's queue.
 const CHUNKS_TURN_BYTES: usize = 4 << 10;
 /// Bytes of a body that are read while its reader consumes nothing.
 const MAX_UNCONSUMED_BYTES: usize = 2 * BODY_TURN_BYTES;
--- a/crates/tarragon_node/src/dispatch.rs
+++ b/crates/tarragon_node/src/dispatch.rs
@@ -1,4 +1,5 @@
-//! Plain services that this host dispatches: it chooses the instance of each request, for all hosts.
+//! Plain services that this host dispatches: it chooses the instance of each request, for all
+//! hosts.
 
 use crate::{
     events::Event,
--- a/crates/tarragon_node/src/dispatch_calls.rs
+++ b/crates/tarragon_node/src/dispatch_calls.rs
@@ -112,8 +112,9 @@
     None(&'static str),
 }
 
-/// Asks the dispatcher of a request's service for one of the usable instances. Returns `None` if the
-/// service is not dispatched or no dispatcher replies. The request waits for `max_wait` at most.
+/// Asks the dispatcher of a request's service for one of the usable instances. Returns `None` if
+/// the service is not dispatched or no dispatcher replies. The request waits for `max_wait` at
+/// most.
 ///
 /// # Errors
 /// Returns the time after which the request may come back, if no instance has room in time.
--- a/crates/tarragon_node/src/peers.rs
+++ b/crates/tarragon_node/src/peers.rs
@@ -190,7 +190,8 @@
     }
 
     /// Records that a host did not reply to a call, and discards the link to it after
-    /// [`DEAD_LINK_TIMEOUT`] without a reply. The link isn't discarded earlier, since opening new links would add load to a host that is merely busy.
+    /// [`DEAD_LINK_TIMEOUT`] without a reply. The link isn't discarded earlier, since opening new links
+    /// would add load to a host that is merely busy.
     fn record_silence(&self, mesh: &PeerMesh, peer: SocketAddr) {
         let mut silent_since = self.silent_since.borrow_mut();
         let since = *silent_since.entry(peer).or_insert_with(Instant::now);
--- a/crates/tarragon_node/src/quarantine.rs
+++ b/crates/tarragon_node/src/quarantine.rs
@@ -67,7 +67,8 @@
         self.trial.as_ref().map(|trial| KeyTrial { blamed: trial.blamed, run: trial.run })
     }
 
-    /// Returns the upstreams that may run the request, the avoided ones only if there are no others.
+    /// Returns the upstreams that may run the request, the avoided ones only if there are no
+    /// others.
     pub fn filter<'a>(&self, upstreams: Vec<&'a Arc<Upstream>>) -> Vec<&'a Arc<Upstream>> {
         let mut allowed = upstreams;
         if let Some(chosen) = &self.upstream {
@@ -236,8 +237,8 @@
     refusal
 }
 
-/// Returns the peer address of the host that coordinates the trials of a service, or `None` if it is
-/// this host.
+/// Returns the peer address of the host that coordinates the trials of a service, or `None` if it
+/// is this host.
 fn coordinator(node: &Node, service: &str) -> Option<SocketAddr> {
     let hosts = node.hosts.borrow();
     let live = hosts.live(node.now()).map(|heartbeat| heartbeat.host.as_str());
--- a/crates/tarragon_node/src/quota_calls.rs
+++ b/crates/tarragon_node/src/quota_calls.rs
@@ -15,7 +15,8 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Heartbeats that a process must have sent to be an issuer, so that it knows the others.
 const MIN_HEARTBEATS: u64 = 8;
-/// Time after the start in which a host that has not read the registered hosts knows too few to issue.
+/// Time after the start in which a host that has not read the registered hosts knows too few to
+/// issue.
 const JOIN_TIME: Duration = Duration::from_secs(4);
 /// Time after the start in which hosts that are only registered count as known.
 const REGISTERED_TIME: Duration = Duration::from_secs(30);
--- a/crates/tarragon_node/src/quotas.rs
+++ b/crates/tarragon_node/src/quotas.rs
@@ -1,5 +1,5 @@
-//! Quotas of workspaces: charges requests before they are sent, and settles with the host that issues the
-//! quotas to all others.
+//! Quotas of workspaces: charges requests before they are sent, and settles with the host that
+//! issues the quotas to all others.
 
 use crate::{
     events::Event,
@@ -30,8 +30,8 @@
 const UPDATE_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which a host without quotas checks whether there are some.
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest time for which callers are told to stay away on top of the wait for units, so that they do
-/// not come back all at once.
+/// Longest time for which callers are told to stay away on top of the wait for units, so that they
+/// do not come back all at once.
 const RETRY_SPREAD: Duration = Duration::from_millis(500);
 /// Share of the target latency of a route for which its requests may wait for the issuer.
 const MAX_WAIT_SHARE: f64 = 0.5;
@@ -106,8 +106,8 @@
 }
 
 impl Quotas {
-    /// Creates the accounts of a process. An earlier one may have used its credit until now, so this
-    /// one has half of it for a window.
+    /// Creates the accounts of a process. An earlier one may have used its credit until now, so
+    /// this one has half of it for a window.
     pub fn open(host: &str, started_unix_ms: u64, tolerance: QuotaTolerance) -> Self {
         let first_sequence = started_unix_ms << SEQUENCE_BITS;
         let full_credit_from = time_since_boot() + tolerance.window;
@@ -125,8 +125,8 @@
         self.issuer.borrow().share()
     }
 
-    /// Returns the share of a workspace in the work of engines, whose weight is the rate of its quota. A
-    /// workspace without a quota has the weight of the largest one.
+    /// Returns the share of a workspace in the work of engines, whose weight is the rate of its
+    /// quota. A workspace without a quota has the weight of the largest one.
     pub fn work_share(&self, workspace: &str) -> WorkShare {
         let known = self.known.borrow();
         let rate = known.quotas.get(workspace).map(|quota| quota.rate_per_s);
@@ -205,8 +205,9 @@
     })
 }
 
-/// Charges a request to the quota of its workspace before its first attempt, and waits for the issuer
-/// if that is necessary. It is charged so late since a request that waits for an engine may never run.
+/// Charges a request to the quota of its workspace before its first attempt, and waits for the
+/// issuer if that is necessary. It is charged so late since a request that waits for an engine may
+/// never run.
 ///
 /// # Errors
 /// Returns why the request is refused.
@@ -243,8 +244,9 @@
     }
 }
 
-/// Returns what a request costs its workspace, with the quota; `None` without a limit. A request that
-/// another host passes on is charged here, since any caller can send the header of such requests.
+/// Returns what a request costs its workspace, with the quota; `None` without a limit. A request
+/// that another host passes on is charged here, since any caller can send the header of such
+/// requests.
 fn charge_of(
     headers: &CallerHeaders,
     workspace: Option<&Workspace>,
--- a/crates/tarragon_node/src/send_permits.rs
+++ b/crates/tarragon_node/src/send_permits.rs
@@ -49,8 +49,8 @@
         Some((limit.rate?, now.saturating_sub(limit.answered_at)))
     }
 
-    /// Returns the time until a request may be sent to an upstream or a permit for it requested; `None`
-    /// if that is now.
+    /// Returns the time until a request may be sent to an upstream or a permit for it requested;
+    /// `None` if that is now.
     pub fn pause(&self, upstream: &Upstream, now: Duration) -> Option<Duration> {
         let start = key_of(upstream);
         let refused = self.refused.borrow().remaining(&start, now);
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -91,8 +91,8 @@
 }
 
 impl RetryState {
-    /// Returns whether the request is sent again after an attempt that failed in this way. The retry
-    /// budget is not considered.
+    /// Returns whether the request is sent again after an attempt that failed in this way. The
+    /// retry budget is not considered.
     fn may_retry(&self, request: &CallerRequest, failure: AttemptFailure) -> bool {
         self.attempts.may_retry(failure, &request.route, request.time_left())
     }
@@ -313,8 +313,8 @@
     }
 }
 
-/// Returns the ready instances that may run a request. One that names a limit and has no permit left
-/// is not among them.
+/// Returns the ready instances that may run a request. One that names a limit and has no permit
+/// left is not among them.
 fn usable_upstreams(
     node: &SharedNode,
     request: &CallerRequest,
--- a/crates/tarragon_node/src/service_runs.rs
+++ b/crates/tarragon_node/src/service_runs.rs
@@ -45,8 +45,8 @@
 }
 
 impl ServiceRun {
-    /// Returns whether the result goes to the caller whatever another attempt does: a whole response
-    /// that is no server error.
+    /// Returns whether the result goes to the caller whatever another attempt does: a whole
+    /// response that is no server error.
     pub fn is_answer(&self) -> bool {
         matches!(self, Self::Responded(response) if !response.head.status.is_server_error())
     }
--- a/crates/tarragon_node/src/store_return.rs
+++ b/crates/tarragon_node/src/store_return.rs
@@ -74,8 +74,8 @@
     }
 }
 
-/// Keeps in the store when this host noticed a return, so that it need not wait anew if it restarts.
-/// `stored` is the newest era whose record is known to be in the store.
+/// Keeps in the store when this host noticed a return, so that it need not wait anew if it
+/// restarts. `stored` is the newest era whose record is known to be in the store.
 pub async fn exchange_notice(node: &SharedNode, stored: &mut Option<Era>) {
     let noticed = node.return_guard.borrow().noticed(time_since_boot());
     let Some((era, noticed_at)) = noticed.filter(|(era, _)| *stored < Some(*era)) else { return };
--- a/crates/tarragon_node/src/stored_origins.rs
+++ b/crates/tarragon_node/src/stored_origins.rs
@@ -71,8 +71,8 @@
     }
 }
 
-/// Writes a slot over the object of an earlier slot. What an earlier process of this host has stored in
-/// the same slot is kept.
+/// Writes a slot over the object of an earlier slot. What an earlier process of this host has
+/// stored in the same slot is kept.
 async fn write(node: &Node, slot: Slot, origins: &StoredOrigins) -> Result<(), StoreError> {
     let streams = &node.stream_origins.store;
     let name = slot.object_name(&node.settings.host);
--- a/crates/tarragon_node/src/stream_times.rs
+++ b/crates/tarragon_node/src/stream_times.rs
@@ -39,8 +39,8 @@
 }
 
 impl StreamTimes {
-    /// Records a part of the response to a request that arrived and was sent at these times. Returns
-    /// the time since the part before.
+    /// Records a part of the response to a request that arrived and was sent at these times.
+    /// Returns the time since the part before.
     pub fn record_part(&mut self, arrived_at: Instant, sent_at: Instant) -> Option<Duration> {
         let now = Instant::now();
         self.first_part.get_or_insert(now.duration_since(arrived_at));
