Names of dispatch and hedges that stopped a newcomer

In rail_dispatch `unknown` stood for two things: the difference between reported and known requests is `report_gap`, and an instance whose speed was measured too long ago has `is_speed_outdated`. Calls to dispatchers are calls, not questions; a pause is a struct in place of a pair of durations; the bounds of the reply timeout have a name each; `Reply::None` beside `Option::None` is `NoDecision`, and the `patience` of a loop says what follows it. A request that may run more than once is idempotent, as elsewhere; the reason in metrics stays `not_repeatable`. Behaviour is unchanged.

--- a/crates/rail_dispatch/src/dispatcher.rs
+++ b/crates/rail_dispatch/src/dispatcher.rs
@@ -230,9 +230,10 @@
             }
             let cost = instance.cost(time_left_ms, now);
             let is_other_zone = instance.zone != request.zone;
-            let way_ms = if is_other_zone { time_left_ms * OTHER_ZONE_SHARE } else { 0.0 };
-            let finish_ms = cost.finish_ms + way_ms;
-            if cost.is_unknown && cost.has_room && finish_ms < time_left_ms * MAX_PROBE_SHARE {
+            let zone_cost_ms = if is_other_zone { time_left_ms * OTHER_ZONE_SHARE } else { 0.0 };
+            let finish_ms = cost.finish_ms + zone_cost_ms;
+            if cost.is_speed_outdated && cost.has_room && finish_ms < time_left_ms * MAX_PROBE_SHARE
+            {
                 return Some(id);
             }
             if !cost.has_room {
--- a/crates/rail_dispatch/src/instance.rs
+++ b/crates/rail_dispatch/src/instance.rs
@@ -13,9 +13,9 @@
 /// end of a run is still being reported.
 const SURPLUS_SHARE: f64 = 0.25;
 /// Weight of one report in the difference between reported and known requests.
-const UNKNOWN_WEIGHT: f64 = 0.1;
+const REPORT_GAP_WEIGHT: f64 = 0.1;
 /// Time in which that difference fades without reports.
-const UNKNOWN_FADING_TIME: Duration = Duration::from_millis(500);
+const REPORT_GAP_FADING_TIME: Duration = Duration::from_millis(500);
 /// Largest share of an instance's slots that is presumed to be free although runs are known there,
 /// whose messages are on their way.
 const MAX_IN_TRANSIT_SHARE: f64 = 0.25;
@@ -70,7 +70,7 @@
     /// Whether the instance takes a further request now.
     pub(crate) has_room: bool,
     /// Whether its speed is not known any more, since it has been idle.
-    pub(crate) is_unknown: bool,
+    pub(crate) is_speed_outdated: bool,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -83,7 +83,7 @@
     pub(crate) in_flight: u32,
     /// Difference between reported and known requests, and the time of the last report. It is
     /// positive where others send requests, and negative for runs whose messages are on their way.
-    unknown: (f64, Duration),
+    report_gap: (f64, Duration),
     failure_rate: f64,
     paused_until: Duration,
     work_time: WorkTime,
@@ -103,12 +103,12 @@
 
     /// Returns the number of requests on the instance, those of others included.
     pub(crate) fn requests(&self, now: Duration) -> f64 {
-        let (unknown, at) = self.unknown;
-        if unknown == 0.0 {
+        let (gap, at) = self.report_gap;
+        if gap == 0.0 {
             return f64::from(self.in_flight);
         }
-        let unknown = unknown * decay(now.saturating_sub(at), UNKNOWN_FADING_TIME);
-        (f64::from(self.in_flight) + unknown).max(0.0)
+        let gap = gap * decay(now.saturating_sub(at), REPORT_GAP_FADING_TIME);
+        (f64::from(self.in_flight) + gap).max(0.0)
     }
 
     pub(crate) fn work_ms(&self, now: Duration) -> f64 {
@@ -134,7 +134,7 @@
             wait_ms,
             finish_ms: work_ms * (1.0 + crowding) + wait_ms + self.failure_rate * failure_ms,
             has_room: requests + 1.0 <= slots + surplus,
-            is_unknown: is_old && self.in_flight == 0,
+            is_speed_outdated: is_old && self.in_flight == 0,
         }
     }
 
@@ -143,11 +143,12 @@
             if let Some(pace) = report.pace {
                 self.work_time.record_pace(pace, now);
             }
-            let seen = f64::from(report.requests) - f64::from(self.in_flight);
-            let (known, at) = self.unknown;
-            let known = known * decay(now.saturating_sub(at), UNKNOWN_FADING_TIME);
+            let reported_gap = f64::from(report.requests) - f64::from(self.in_flight);
+            let (mean_gap, at) = self.report_gap;
+            let mean_gap = mean_gap * decay(now.saturating_sub(at), REPORT_GAP_FADING_TIME);
             let least = -f64::from(self.slots) * MAX_IN_TRANSIT_SHARE;
-            self.unknown = ((known + UNKNOWN_WEIGHT * (seen - known)).max(least), now);
+            let mean_gap = mean_gap + REPORT_GAP_WEIGHT * (reported_gap - mean_gap);
+            self.report_gap = (mean_gap.max(least), now);
         }
         let requests = self.requests(now);
         self.in_flight = self.in_flight.saturating_sub(1);
--- a/crates/rail_hedge/src/decision.rs
+++ b/crates/rail_hedge/src/decision.rs
@@ -10,7 +10,7 @@
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct HedgeInputs {
     /// Whether the request may run more than once.
-    pub is_repeatable: bool,
+    pub is_idempotent: bool,
     /// Whether the request may crash the upstreams that run it.
     pub is_suspect: bool,
     /// Whether the caller's key is still valid.
@@ -34,7 +34,7 @@
     /// The operators allow none.
     Off,
     /// The request may run only once.
-    NotRepeatable,
+    NotIdempotent,
     /// The request may crash upstreams.
     Suspect,
     /// The caller's key is not valid any more.
@@ -58,7 +58,7 @@
     pub fn reason(self) -> &'static str {
         match self {
             Self::Off => "off",
-            Self::NotRepeatable => "not_repeatable",
+            Self::NotIdempotent => "not_repeatable",
             Self::Suspect => "suspect",
             Self::InvalidKey => "invalid_key",
             Self::NotSent => "not_sent",
@@ -86,7 +86,7 @@
 ) -> Result<(), NoHedge> {
     let second_expected = match inputs.second_expected {
         _ if share.is_off() => return Err(NoHedge::Off),
-        _ if !inputs.is_repeatable => return Err(NoHedge::NotRepeatable),
+        _ if !inputs.is_idempotent => return Err(NoHedge::NotIdempotent),
         _ if inputs.is_suspect => return Err(NoHedge::Suspect),
         _ if !inputs.is_key_valid => return Err(NoHedge::InvalidKey),
         _ if inputs.attempts >= inputs.max_attempts => return Err(NoHedge::NoAttemptLeft),
--- a/crates/rail_hedge/tests/decision.rs
+++ b/crates/rail_hedge/tests/decision.rs
@@ -12,7 +12,7 @@
 }
 
 const SLOW: HedgeInputs = HedgeInputs {
-    is_repeatable: true,
+    is_idempotent: true,
     is_suspect: false,
     is_key_valid: true,
     attempts: 1,
@@ -33,7 +33,7 @@
 }
 
 #[test]
-fn a_slow_repeatable_request_gets_a_second_attempt() {
+fn a_slow_idempotent_request_gets_a_second_attempt() {
     assert_eq!(may_hedge(&SLOW, share(0.02), &budget(50)), Ok(()));
 }
 
@@ -41,7 +41,7 @@
 #[test]
 fn a_second_attempt_is_refused_for_each_reason() {
     let cases = [
-        (HedgeInputs { is_repeatable: false, ..SLOW }, NoHedge::NotRepeatable),
+        (HedgeInputs { is_idempotent: false, ..SLOW }, NoHedge::NotIdempotent),
         (HedgeInputs { is_suspect: true, ..SLOW }, NoHedge::Suspect),
         (HedgeInputs { is_key_valid: false, ..SLOW }, NoHedge::InvalidKey),
         (HedgeInputs { attempts: 2, ..SLOW }, NoHedge::NoAttemptLeft),
--- a/crates/rail_hedge/tests/replay.rs
+++ b/crates/rail_hedge/tests/replay.rs
@@ -98,7 +98,7 @@
             }
             let (second, start) = upstreams.soonest(at, Some(first));
             let inputs = HedgeInputs {
-                is_repeatable: true,
+                is_idempotent: true,
                 is_suspect: false,
                 is_key_valid: true,
                 attempts: 1,
--- a/crates/tarragon_node/src/dispatch_calls.rs
+++ b/crates/tarragon_node/src/dispatch_calls.rs
@@ -1,6 +1,6 @@
 //! Calls between hosts for the instances of plain services.
 //!
-//! A host asks the dispatcher of a service before each send, if an instance has reported its pace:
+//! A host calls the dispatcher of a service before each send, if an instance has reported its pace:
 //! where work takes as long as usual everywhere, each host chooses well enough by itself. It
 //! chooses by itself too if no dispatcher replies.
 
@@ -26,51 +26,61 @@
 /// Most slots of a service that is dispatched. Among more slots a host finds a free one by itself,
 /// and the calls for so many requests would fill one host.
 const MAX_DISPATCHED_SLOTS: u32 = 256;
-/// Share of the target latency after which a silent dispatcher is not waited for, and its bounds.
-const REPLY_SHARE: f64 = 0.25;
-const REPLY_TIMEOUTS: [Duration; 2] = [Duration::from_millis(25), Duration::from_millis(120)];
-/// Interval at which a dispatcher tells that a request still waits.
+/// Timeout of the first reply of a dispatcher, as a share of the target latency.
+const REPLY_TIMEOUT_SHARE: f64 = 0.25;
+/// Bounds of that timeout.
+const MIN_REPLY_TIMEOUT: Duration = Duration::from_millis(25);
+const MAX_REPLY_TIMEOUT: Duration = Duration::from_millis(120);
+/// Interval at which a dispatcher reports that a request still waits.
 const QUEUED_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without such a message after which the dispatcher is presumed to be gone.
 const QUEUED_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time for which a silent host is not asked; it doubles with each further silence.
+/// Time for which a silent host is not called; it doubles with each further silence.
 const SILENCE_PAUSE: Duration = Duration::from_millis(500);
 /// Longest such time.
 const MAX_SILENCE_PAUSE: Duration = Duration::from_secs(4);
-/// Time for which a host of an earlier build is not asked.
+/// Time for which a host of an earlier build is not called.
 const OLD_BUILD_PAUSE: Duration = Duration::from_secs(10);
 /// Share of the time left until the deadline that a request may wait for an instance.
 const MAX_WAIT_SHARE: f64 = 0.5;
 /// Time after a request's deadline at which its run has certainly ended.
 const RUN_SLACK: Duration = Duration::from_secs(1);
-/// Time in which a decision usually falls; longer waits are told to the host that asks.
-const IMMEDIATE_DECISION: Duration = Duration::from_millis(5);
+/// Time after which the calling host learns that its request waits; most decisions are sooner.
+const FIRST_QUEUED_REPORT: Duration = Duration::from_millis(5);
 
-/// Hosts that are not asked for instances.
+/// Hosts that are not called for instances.
 #[derive(Debug, Default)]
 pub struct DispatchPauses {
-    /// End of the pause of each host, and its length.
-    paused: RefCell<HashMap<SocketAddr, (Duration, Duration)>>,
+    by_host: RefCell<HashMap<SocketAddr, Pause>>,
+}
+
+/// Time for which a host is not called.
+#[derive(Debug, Clone, Copy)]
+struct Pause {
+    until: Duration,
+    /// Length of the last pause for a silence.
+    length: Duration,
 }
 
 impl DispatchPauses {
     fn is_paused(&self, peer: SocketAddr, now: Duration) -> bool {
-        self.paused.borrow().get(&peer).is_some_and(|(until, _)| now < *until)
+        self.by_host.borrow().get(&peer).is_some_and(|pause| now < pause.until)
     }
 
     fn record_silence(&self, peer: SocketAddr, now: Duration) {
-        let mut paused = self.paused.borrow_mut();
-        let known = paused.get(&peer).map(|(_, length)| *length * 2);
-        let length = known.unwrap_or(SILENCE_PAUSE).min(MAX_SILENCE_PAUSE);
-        paused.insert(peer, (now + length, length));
+        let mut pauses = self.by_host.borrow_mut();
+        let doubled = pauses.get(&peer).map(|pause| pause.length * 2);
+        let length = doubled.unwrap_or(SILENCE_PAUSE).min(MAX_SILENCE_PAUSE);
+        pauses.insert(peer, Pause { until: now + length, length });
     }
 
     fn record_old_build(&self, peer: SocketAddr, now: Duration) {
-        self.paused.borrow_mut().insert(peer, (now + OLD_BUILD_PAUSE, SILENCE_PAUSE));
+        let pause = Pause { until: now + OLD_BUILD_PAUSE, length: SILENCE_PAUSE };
+        self.by_host.borrow_mut().insert(peer, pause);
     }
 
     fn record_reply(&self, peer: SocketAddr) {
-        self.paused.borrow_mut().remove(&peer);
+        self.by_host.borrow_mut().remove(&peer);
     }
 }
 
@@ -84,7 +94,7 @@
 }
 
 impl InstanceRun {
-    /// Tells the dispatcher how a run ended.
+    /// Reports to the dispatcher how a run ended.
     pub fn release(
         self,
         node: &Node,
@@ -104,15 +114,15 @@
     }
 }
 
-/// Reply of one host that was asked for an instance.
+/// Reply of one host that was called for an instance.
 enum Reply {
     Start(UpstreamId, InstanceRun),
     Refused(Duration),
     /// The host does not dispatch, or did not reply.
-    None(&'static str),
+    NoDecision(&'static str),
 }
 
-/// Asks the dispatcher of a request's service for one of the usable instances. Returns `None` if
+/// Requests one of the usable instances from the dispatcher of the service. Returns `None` if
 /// the service is not dispatched or no dispatcher replies. The request waits for `max_wait` at
 /// most.
 ///
@@ -127,11 +137,11 @@
     if !is_dispatched(node, &request.service) {
         return Ok(None);
     }
-    let asked_at = Instant::now();
+    let called_at = Instant::now();
     for host in dispatchers(node, &request.service) {
         let call = dispatch_request(node, request, usable, max_wait);
         let reply = if host == node.settings.host {
-            ask_own(node, &call).await
+            request_from_own(node, &call).await
         } else {
             let peer = node.hosts.borrow().find(&host).map(|heartbeat| heartbeat.peer_address);
             let Some(peer) = peer else { continue };
@@ -139,23 +149,23 @@
                 continue;
             }
             let target = request.route.target_latency;
-            let [shortest, longest] = REPLY_TIMEOUTS;
-            let reply_timeout = target.mul_f64(REPLY_SHARE).clamp(shortest, longest);
-            ask_host(node, peer, call, reply_timeout).await
+            let reply_timeout = target.mul_f64(REPLY_TIMEOUT_SHARE);
+            let reply_timeout = reply_timeout.clamp(MIN_REPLY_TIMEOUT, MAX_REPLY_TIMEOUT);
+            request_from_host(node, peer, call, reply_timeout).await
         };
         match reply {
             Reply::Start(instance, run) if usable.contains(&instance) => {
                 node.metrics.dispatch.replies.count("started");
-                node.metrics.dispatch.reply_time.observe("started", asked_at.elapsed());
+                node.metrics.dispatch.reply_time.observe("started", called_at.elapsed());
                 return Ok(Some((instance, run)));
             }
             Reply::Start(..) => node.metrics.dispatch.replies.count("unusable"),
             Reply::Refused(retry_after) => {
                 node.metrics.dispatch.replies.count("refused");
-                node.metrics.dispatch.reply_time.observe("refused", asked_at.elapsed());
+                node.metrics.dispatch.reply_time.observe("refused", called_at.elapsed());
                 return Err(retry_after);
             }
-            Reply::None(reason) => node.metrics.dispatch.replies.count(reason),
+            Reply::NoDecision(reason) => node.metrics.dispatch.replies.count(reason),
         }
     }
     Ok(None)
@@ -203,9 +213,9 @@
     }
 }
 
-async fn ask_own(node: &SharedNode, call: &DispatchRequest) -> Reply {
+async fn request_from_own(node: &SharedNode, call: &DispatchRequest) -> Reply {
     match dispatch::request(node, call) {
-        None => Reply::None("not_dispatcher"),
+        None => Reply::NoDecision("not_dispatcher"),
         Some(Err(retry_after)) => Reply::Refused(retry_after),
         Some(Ok(mut run)) => match run.decision().await {
             Ok(instance) => Reply::Start(instance, InstanceRun::Local(run)),
@@ -214,13 +224,13 @@
     }
 }
 
-async fn ask_host(
+async fn request_from_host(
     node: &SharedNode,
     peer: SocketAddr,
     call: DispatchRequest,
     reply_timeout: Duration,
 ) -> Reply {
-    let Some(mesh) = node.peers.mesh() else { return Reply::None("no_link") };
+    let Some(mesh) = node.peers.mesh() else { return Reply::NoDecision("no_link") };
     let request = PeerRequest::Dispatch(call);
     let first_reply = async {
         let mut replies = mesh.call(peer, &request).await?;
@@ -231,18 +241,18 @@
         Ok(Ok(answer)) => answer,
         Ok(Err(Error::OldFormat)) => {
             node.dispatch_pauses.record_old_build(peer, node.now());
-            return Reply::None("old_build");
+            return Reply::NoDecision("old_build");
         }
         Ok(Err(_)) | Err(_) => {
             node.dispatch_pauses.record_silence(peer, node.now());
-            return Reply::None("no_reply");
+            return Reply::NoDecision("no_reply");
         }
     };
     node.dispatch_pauses.record_reply(peer);
     while reply == Some(PeerReply::Dispatch(DispatchReply::Queued)) {
         let Ok(Ok(next)) = timeout(QUEUED_TIMEOUT, replies.next()).await else {
             node.dispatch_pauses.record_silence(peer, node.now());
-            return Reply::None("no_reply");
+            return Reply::NoDecision("no_reply");
         };
         reply = next;
     }
@@ -253,7 +263,7 @@
         Some(PeerReply::Dispatch(DispatchReply::Refused(retry_after_ms))) => {
             Reply::Refused(Duration::from_millis(retry_after_ms.into()))
         }
-        _ => Reply::None("not_dispatcher"),
+        _ => Reply::NoDecision("not_dispatcher"),
     }
 }
 
@@ -292,23 +302,23 @@
     run.release(code.map_or(RunEnd::UNKNOWN, RunEnd::from_code));
 }
 
-/// Waits for the decision on a request of another host, and tells the host while the request waits.
+/// Waits for the decision on a request of another host, and reports to it while the request waits.
 /// Returns `None` if that host has cancelled the call.
 async fn decide(
     run: &mut LocalRun,
     replies: &mut ReplySender,
 ) -> Option<Result<UpstreamId, Duration>> {
     let mut decision = std::pin::pin!(run.decision());
-    let mut patience = IMMEDIATE_DECISION;
+    let mut report_after = FIRST_QUEUED_REPORT;
     loop {
         tokio::select! {
             biased;
             decision = &mut decision => return Some(decision),
             _code = replies.stop_code() => return None,
-            () = tokio::time::sleep(patience) => {}
+            () = tokio::time::sleep(report_after) => {}
         }
         replies.send(&PeerReply::Dispatch(DispatchReply::Queued)).await.ok()?;
-        patience = QUEUED_INTERVAL;
+        report_after = QUEUED_INTERVAL;
     }
 }
 
--- a/crates/tarragon_node/src/hedges.rs
+++ b/crates/tarragon_node/src/hedges.rs
@@ -99,10 +99,10 @@
     let is_sent = Cell::new(false);
     let second_send = async {
         tokio::time::sleep(slow_after).await;
-        let plan = Plan { admission, earlier_attempts, attempts_before, slow_after };
+        let second = SecondAttempt { admission, earlier_attempts, attempts_before, slow_after };
         let mut others = usable();
         others.retain(|other| other.id != upstream.id);
-        let (second, run) = match plan.acquire_second(node, request, &others).await {
+        let (second, run) = match second.acquire(node, request, &others).await {
             Ok(acquired) => acquired,
             Err(reason) => {
                 node.metrics.hedges.count(reason.reason());
@@ -233,7 +233,7 @@
 }
 
 /// A second attempt that is about to be sent.
-struct Plan<'a> {
+struct SecondAttempt<'a> {
     admission: &'a Admission,
     earlier_attempts: u32,
     /// Attempts of the request before the first one of the two.
@@ -241,15 +241,15 @@
     slow_after: Duration,
 }
 
-impl Plan<'_> {
+impl SecondAttempt<'_> {
     /// Decides whether the second attempt is sent, and where.
-    async fn acquire_second(
+    async fn acquire(
         &self,
         node: &SharedNode,
         request: &CallerRequest,
         others: &[Arc<Upstream>],
     ) -> Result<(Arc<Upstream>, Option<InstanceRun>), NoHedge> {
-        // Before an instance is asked for, as that has a cost too.
+        // Decided before the dispatcher is called, as the call has a cost too.
         self.decide(node, request, !others.is_empty())?;
         let ids: Vec<UpstreamId> = others.iter().map(|other| other.id.clone()).collect();
         let find = |id: &str| others.iter().find(|other| other.id == id).cloned();
@@ -288,7 +288,7 @@
         let route = &request.route;
         let typical = node.hedges.answer_times.borrow_mut().typical(&route.name, now);
         let inputs = HedgeInputs {
-            is_repeatable: route.kind == RouteKind::Idempotent,
+            is_idempotent: route.kind == RouteKind::Idempotent,
             is_suspect: self.admission.trial_run().is_some() || self.admission.upstream.is_some(),
             is_key_valid: access::check_again(node, request).is_ok(),
             attempts: self.earlier_attempts + 1,
--- a/crates/tarragon_node/src/quota_calls.rs
+++ b/crates/tarragon_node/src/quota_calls.rs
@@ -15,8 +15,8 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Heartbeats that a process must have sent to be an issuer, so that it knows the others.
 const MIN_HEARTBEATS: u64 = 8;
-/// Time after the start in which a host that has not read the registered hosts knows too few to
-/// issue.
+/// Time after its start in which a host that has not read the registered hosts knows too few of
+/// them to issue quotas.
 const JOIN_TIME: Duration = Duration::from_secs(4);
 /// Time after the start in which hosts that are only registered count as known.
 const REGISTERED_TIME: Duration = Duration::from_secs(30);
@@ -56,7 +56,7 @@
 /// Returns the next message to an issuer.
 ///
 /// # Errors
-/// Returns the time until an issuer can be asked.
+/// Returns the time until an issuer can be called.
 pub fn next_call(node: &Node, waiting: &[WaitingCharge]) -> Result<IssuerCall, Duration> {
     let (hosts, now) = (node.hosts.borrow(), time_since_boot());
     let may_issue = hosts
