Owners replace an outdated version before any host stops using it, and doomed requests aren't sent

What callers could see: for up to half a second after an announcement, requests for an adapter in use got refusals from an engine that still had the version before, and a whole engine waited for a report.

Cause: hosts know the time of an announcement to 0.3 of the bound (a watch's period), so with owners at 0.6 and senders at 0.8 of it a sender could expect the new version before the owner had ordered it. The engine's 421 then counts as an adapter that is absent: the owner drops it and all queued orders. A send without a grant lost its time altogether, since the first version ever announced was compared.

Change: owners use true times and force the replacement at 0.55, senders switch at 0.85. A granted version that is outdated at the send isn't sent; the request goes to another engine. Without a grant the version that the engine registered decides. The log of old versions leaves out what another host served, and bodies that are no events.

--- a/crates/rail_place/src/owner/load_states.rs
+++ b/crates/rail_place/src/owner/load_states.rs
@@ -8,9 +8,10 @@
 use crate::versions::AdapterVersion;
 use std::time::Duration;
 
-/// Share of the version timeout, from the announcement of a new version, after which it is loaded
-/// even while the adapter is in use.
-const FORCED_REPLACEMENT_SHARE: f64 = 0.4;
+/// Share of the version timeout, from the time after which a new version was announced, when it is
+/// loaded even while the adapter is in use. Hosts know that time to 0.3 of the timeout, so it comes
+/// before any of them stops using the old version, at 0.85.
+const FORCED_REPLACEMENT_SHARE: f64 = 0.55;
 
 impl EngineOwner {
     /// Advances adapters whose load should have ended from loading to unconfirmed to resident.
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -1,10 +1,11 @@
 //! One attempt: sends a request to one upstream and classifies the response head.
 
 use crate::{
-    access, drained_upstreams,
+    access, drained_upstreams, engine_grants,
     events::Event,
     lost_runs,
     node::SharedNode,
+    old_versions::SentVersion,
     quarantine::Admission,
     quotas::{self, RefusedCharge},
     request::CallerRequest,
@@ -32,7 +33,7 @@
 
 /// Share of the version rollout timeout during which requests are still sent to the old version; in
 /// the rest of it they begin.
-const OLD_VERSION_SHARE: f64 = 0.8;
+const OLD_VERSION_SHARE: f64 = 0.85;
 
 /// Reason of an attempt whose connection ended before a response.
 const CONNECTION_LOST: &str = "connection_lost";
@@ -48,6 +49,8 @@
     NotSent,
     /// Not sent, since the upstream left, is draining or restarted after it was chosen.
     Withdrawn,
+    /// Not sent, since the granted version of the adapter is outdated.
+    Outdated,
     /// Not sent, since the key of the request does not count any more.
     Denied(KeyRefusal),
     /// Not sent, since the upstream names a limit and no permit is left; contains the time after which
@@ -105,7 +108,11 @@
     };
     let is_not_run = matches!(
         attempt,
-        Attempt::NotRun(_) | Attempt::NotSent | Attempt::Withdrawn | Attempt::Denied(_)
+        Attempt::NotRun(_)
+            | Attempt::NotSent
+            | Attempt::Withdrawn
+            | Attempt::Outdated
+            | Attempt::Denied(_)
     );
     if is_not_run {
         request.record_not_run();
@@ -123,6 +130,7 @@
         Attempt::Responded(_) => ("answered", Some(AttemptOutcome::Started)),
         Attempt::NotRun(_) => ("not_run", None),
         Attempt::Withdrawn => ("withdrawn", None),
+        Attempt::Outdated => ("outdated_version", None),
         Attempt::Denied(_) => ("denied", None),
         Attempt::OverLimit(_) => ("over_limit", None),
         Attempt::OverQuota(_) => ("over_quota", None),
@@ -158,6 +166,7 @@
         Attempt::NotRun(status) => status.as_u16(),
         Attempt::NotSent
         | Attempt::Withdrawn
+        | Attempt::Outdated
         | Attempt::OverQuota(_)
         | Attempt::Denied(_)
         | Attempt::OverLimit(_)
@@ -214,12 +223,14 @@
     upstream: &Upstream,
     options: AttemptOptions<'_>,
 ) -> Attempt {
-    let version = expected_version(node, request, options.version);
-    request.sent_version.set(version);
+    let Some(version) = version_to_send(node, request, upstream, options.version) else {
+        return Attempt::Outdated;
+    };
+    request.sent_version.set(Some(version));
     let added_headers = UpstreamRequestHeaders {
         time_left: request.time_left(),
         upstream_id: &upstream.id,
-        version,
+        version: version.only(),
         priority: Some(request.priority().min(9)),
         resume_after: options.resume_after,
         workspace: request.workspace_header(),
@@ -294,19 +305,23 @@
 }
 
 /// Returns the adapter version that the upstream must have to run the request: the granted one, or
-/// the newest if the granted one is outdated. `None` if any version may run it.
-fn expected_version(
+/// the newest if none was granted and the one that the upstream registered, or any that it may have,
+/// is outdated. `None` if the granted one is outdated, as its engine would refuse the newest.
+fn version_to_send(
     node: &SharedNode,
     request: &CallerRequest,
+    upstream: &Upstream,
     granted: Option<AdapterVersion>,
-) -> Option<AdapterVersion> {
+) -> Option<SentVersion> {
     let versions = node.versions.borrow();
     let old_version_grace = node.bounds().version_rollout_timeout.mul_f64(OLD_VERSION_SHARE);
-    let outdated_at = versions.outdated_at(request.model(), granted, old_version_grace);
-    if outdated_at.is_some_and(|outdated_at| time_since_boot() >= outdated_at) {
-        versions.newest(request.model())
-    } else {
-        granted
+    let used = granted.or_else(|| engine_grants::registered_version(upstream, request.model()));
+    let outdated_at = versions.outdated_at(request.model(), used, old_version_grace);
+    let is_outdated = outdated_at.is_some_and(|outdated_at| time_since_boot() >= outdated_at);
+    match granted {
+        Some(version) => (!is_outdated).then_some(SentVersion::Only(version)),
+        None if is_outdated => versions.newest(request.model()).map(SentVersion::Only),
+        None => Some(SentVersion::Any),
     }
 }
 
--- a/crates/tarragon_node/src/engine_grants.rs
+++ b/crates/tarragon_node/src/engine_grants.rs
@@ -9,7 +9,7 @@
 };
 use rail_peer::{GrantRelease, GrantRequest};
 use rail_place::{GrantOutcome, GrantSearch, StreamTiming, WaitLimits, rank_engines};
-use rail_route::{Upstream, UpstreamId};
+use rail_route::{AdapterVersion, Upstream, UpstreamId};
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -232,11 +232,15 @@
 
 /// Returns whether the engine's record in the store lists the adapter as resident.
 fn is_registered_resident(upstream: &Upstream, model: &str) -> bool {
-    let (model, adapter) = split_model(model);
-    upstream.resident_models.iter().any(|resident| {
-        resident.model == model
-            && adapter.as_ref().is_none_or(|adapter| {
-                resident.adapters.iter().any(|(name, _version)| name == adapter)
-            })
-    })
+    let (base, adapter) = split_model(model);
+    let has_base = || upstream.resident_models.iter().any(|resident| resident.model == base);
+    adapter.map_or_else(has_base, |_| registered_version(upstream, model).is_some())
+}
+
+/// Returns the version of an adapter that the engine's record in the store lists.
+pub fn registered_version(upstream: &Upstream, model: &str) -> Option<AdapterVersion> {
+    let (base, adapter) = split_model(model);
+    let resident = upstream.resident_models.iter().filter(|resident| resident.model == base);
+    let mut adapters = resident.flat_map(|resident| &resident.adapters);
+    adapters.find(|(name, _)| Some(name) == adapter.as_ref()).map(|(_, version)| *version)
 }
--- a/crates/tarragon_node/src/engine_requests.rs
+++ b/crates/tarragon_node/src/engine_requests.rs
@@ -122,6 +122,7 @@
             }
             Attempt::NotSent
             | Attempt::Withdrawn
+            | Attempt::Outdated
             | Attempt::OverLimit(_)
             | Attempt::OverQuota(_) => {
                 retry_state.excluded.push(upstream.id.clone());
@@ -264,6 +265,10 @@
                 retry_state.unsent_attempts += 1;
                 "not_sent"
             }
+            Attempt::Outdated => {
+                retry_state.excluded.push(upstream.id.clone());
+                "outdated_version"
+            }
             Attempt::OverLimit(_pause) => {
                 retry_state.excluded.push(upstream.id.clone());
                 "over_limit"
--- a/crates/tarragon_node/src/engines.rs
+++ b/crates/tarragon_node/src/engines.rs
@@ -6,7 +6,6 @@
     events::Event,
     node::{Node, SharedNode},
 };
-use rail_member::RecordKind;
 use rail_peer::{GrantRelease, GrantRequest};
 use rail_place::{
     AdapterVersion, AnnouncedAfter, SharedPart,
@@ -188,7 +187,7 @@
         version: AdapterVersion,
         announced_after: AnnouncedAfter,
     ) {
-        let announced_after = due_to_be_heard(node, announced_after);
+        let announced_after = on_node_clock(node, announced_after);
         for driver in self.drivers.borrow().values() {
             driver.owner.borrow_mut().record_version(adapter, version, announced_after);
             driver.wake.notify_one();
@@ -261,7 +260,7 @@
         }
         let versions = node.versions.borrow();
         for (adapter, version, announced_after) in versions.iter() {
-            owner.record_version(adapter, version, due_to_be_heard(node, announced_after));
+            owner.record_version(adapter, version, on_node_clock(node, announced_after));
         }
         Some(Self {
             id: upstream.id.clone(),
@@ -328,13 +327,11 @@
     }
 }
 
-/// Returns the time from which owners count the age of a version, on [`Node::clock`]: a host that
-/// follows the store has heard of it by then, and one that hears of it later counts from the same
-/// time. `None` if that is before the start of the process.
-fn due_to_be_heard(node: &Node, announced_after: AnnouncedAfter) -> AnnouncedAfter {
-    let pause = node.record_bounds().budget(RecordKind::Versions).watch_pause();
+/// Converts a time of the boot clock, which runs while the machine is suspended, to that of
+/// [`Node::clock`]; `None` if it is before the start of the process.
+fn on_node_clock(node: &Node, announced_after: AnnouncedAfter) -> AnnouncedAfter {
     let age = time_since_boot().saturating_sub(announced_after?);
-    (node.now() + pause).checked_sub(age)
+    node.now().checked_sub(age)
 }
 
 /// Polls the owner of one engine and carries out its commands until the engine is not owned any
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -103,7 +103,9 @@
         let now = Instant::now();
         if self.request.answering_since.get().is_none() {
             self.request.answering_since.set(Some(now));
-            old_versions::record_start(&self.node, &self.request, &self.upstream);
+            if self.event_splitter.is_some() {
+                old_versions::record_start(&self.node, &self.request, &self.upstream);
+            }
         }
         let (arrived_at, sent_at) = (self.request.arrived_at, self.request.sent_at.get());
         if let Some(gap) = self.times.record_part(arrived_at, sent_at) {
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -5,6 +5,7 @@
     connection_flow::{CloseCause, ConnectionFlow},
     events::Event,
     node::SharedNode,
+    old_versions::SentVersion,
     quarantine::Refusal,
     quotas::QuotaCharge,
     reply::{self, Failure},
@@ -15,7 +16,6 @@
 use rail_member::RecordAges;
 use rail_memory::MemoryHold;
 use rail_origin::SoftwarePin;
-use rail_place::AdapterVersion;
 use rail_request::{Fingerprint, QuarantineKey};
 use rail_route::{Route, RouteKind, SoftwareVersion, Upstream, UpstreamId};
 use rail_site::{CallerHeaders, headers::WorkspaceHeader};
@@ -66,8 +66,9 @@
     pub sent_at: Cell<Instant>,
     /// Time at which the current run sent the first part of its answer.
     pub answering_since: Cell<Option<Instant>>,
-    /// Adapter version that the upstream of the current run had to have; `None` if any could run it.
-    pub sent_version: Cell<Option<AdapterVersion>>,
+    /// Adapter version that the upstream of the current run had to have; `None` if this host has not
+    /// sent the request.
+    pub sent_version: Cell<Option<SentVersion>>,
     /// Upstreams that stated that they did not run the request.
     pub refused_by: RefCell<Vec<UpstreamId>>,
     /// Number of attempts so far.
--- a/crates/tarragon_node/src/service_runs.rs
+++ b/crates/tarragon_node/src/service_runs.rs
@@ -92,7 +92,7 @@
         Attempt::Lost(reason) => ServiceRun::Lost(reason),
         Attempt::NotRun(status) => ServiceRun::NotRun(status),
         Attempt::NotSent => ServiceRun::NotSent,
-        Attempt::Withdrawn => ServiceRun::Withdrawn,
+        Attempt::Withdrawn | Attempt::Outdated => ServiceRun::Withdrawn,
         Attempt::OverLimit(_pause) => ServiceRun::OverLimit,
         Attempt::Denied(refusal) => ServiceRun::Denied(refusal),
         Attempt::OverQuota(refused) => ServiceRun::OverQuota(refused),
