An owner's claim doesn't bring a removed engine back

What callers saw: after a return of the store hosts kept an engine that had ended in the outage as ready and sent it requests, for as long as nothing listed all upstreams again.

Cause: after an outage the removal of an upstream is deferred, and any newer record of the same name ended the deferral. The record of an engine's owner has the name of the engine, and owners claim their engines anew within the same time.

Change: only a record of the upstream itself ends the deferral.

Why it works: the upstream's own entry is the only sign that it is alive.

--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -251,7 +251,8 @@
         replicas.entry(kind).or_default().put(name, revision, text.clone())
     };
     node.metrics.records.count(put_outcome.name());
-    if put_outcome != PutOutcome::Stale {
+    // The record of an engine's owner has the name of the engine.
+    if kind == RecordKind::Upstreams && put_outcome != PutOutcome::Stale {
         registry.possibly_expired.borrow_mut().remove(name);
     }
     // Followers must not keep the revision of an earlier era.
