A deferred removal ends the removal that it stands for

What callers saw: after a return of the store, requests for up to 5 s (the test stops there) to an upstream that was removed, came back and was removed once more within the 1.9 s of the deferral.

Cause: a timer ran for each deferred removal, and a name alone said that one was pending. The first timer took the name of the second removal, deleted nothing, since the record was newer, and the second timer found no name.

Change: DeferredRemovals (rail_member) keeps the revision and the due time of each removal; a record that comes back ends it, a further return of the store doesn't put it off.

--- a/crates/rail_member/src/lib.rs
+++ b/crates/rail_member/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod partners;
 pub mod phase;
 pub mod refresh;
+pub mod removal;
 pub mod replica;
 pub mod source;
 
@@ -37,6 +38,7 @@
         packed::RecordText,
         phase::{HostPhase, Phase, PhaseEvent},
         refresh::{RecordBounds, RefreshPlanner},
+        removal::DeferredRemovals,
         replica::{RecordKind, Replica},
         source::{Source, SourceChooser},
     };
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -7,7 +7,7 @@
     store_return, stream_origins,
 };
 use rail_member::{
-    Confirmations, RecordText, outage,
+    Confirmations, DeferredRemovals, RecordText, outage,
     replica::{PutOutcome, Record, RecordKind, Replica},
 };
 use rail_peer::FeedItem;
@@ -21,7 +21,7 @@
 use serde_json::Value;
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     rc::Rc,
     sync::Arc,
     time::Duration,
@@ -52,7 +52,7 @@
     replicas: RefCell<BTreeMap<RecordKind, Replica>>,
     followers: RefCell<Vec<mpsc::Sender<FeedItem>>>,
     /// Upstreams whose removal is deferred by [`REREGISTRATION_GRACE`].
-    possibly_expired: RefCell<BTreeSet<String>>,
+    possibly_expired: RefCell<DeferredRemovals>,
     /// End of the last store outage; zero if there was none.
     store_recovered_at: Cell<Duration>,
     /// Record of the applied configuration.
@@ -253,7 +253,7 @@
     node.metrics.records.count(put_outcome.name());
     // The record of an engine's owner has the name of the engine.
     if kind == RecordKind::Upstreams && put_outcome != PutOutcome::Stale {
-        registry.possibly_expired.borrow_mut().remove(name);
+        registry.possibly_expired.borrow_mut().cancel(name);
     }
     // Followers must not keep the revision of an earlier era.
     if matches!(put_outcome, PutOutcome::Changed | PutOutcome::UnchangedInNewEra) {
@@ -286,16 +286,17 @@
 /// [`REREGISTRATION_GRACE`], since its record may only have expired during the outage.
 pub fn remove_record(node: &SharedNode, kind: RecordKind, name: &str, revision: Revision) {
     let store_recovered_at = node.registry.store_recovered_at.get();
-    let remaining_grace = (store_recovered_at + REREGISTRATION_GRACE).saturating_sub(node.now());
-    if kind != RecordKind::Upstreams || store_recovered_at.is_zero() || remaining_grace.is_zero() {
+    let (now, due_at) = (node.now(), store_recovered_at + REREGISTRATION_GRACE);
+    if kind != RecordKind::Upstreams || store_recovered_at.is_zero() || now >= due_at {
         return delete_record(node, kind, name, revision);
     }
-    node.registry.possibly_expired.borrow_mut().insert(name.to_owned());
+    node.registry.possibly_expired.borrow_mut().defer(name, revision, due_at);
     let (node, name) = (Rc::clone(node), name.to_owned());
     actix_rt::spawn(async move {
-        tokio::time::sleep(remaining_grace).await;
-        if node.registry.possibly_expired.borrow_mut().remove(&name) {
-            delete_record(&node, kind, &name, revision);
+        tokio::time::sleep(due_at.saturating_sub(now)).await;
+        let removal = node.registry.possibly_expired.borrow_mut().take_due(&name, node.now());
+        if let Some(gone_at) = removal {
+            delete_record(&node, kind, &name, gone_at);
         }
     });
 }
