Which hosts serve requests of a cut-off host is decided in rail_route

Behaviour is unchanged.

Run: cargo test -p rail_route: 18 passed; of whole_path, at a load average of 38, the 9 tests of unreachable and leaving upstreams, refusals and the link to the store passed, both of a host that reaches no server among them.

--- a/crates/rail_route/src/lib.rs
+++ b/crates/rail_route/src/lib.rs
@@ -3,13 +3,15 @@
 //! [`RouteTable`] is one accepted configuration: it maps a request to a [`Route`] and a service.
 //! [`UpstreamTable`] contains the registered upstreams, [`UpstreamReach`] tells whether this host
 //! reaches any, and [`OutlierDetector`] ejects those that fail too often. [`choose_instance`]
-//! chooses among the instances of a plain service. [`AttemptCounts`] decides whether a request is
-//! sent again, and [`RetryBudget`] limits retries over all hosts together. [`ObservedAdapters`]
-//! records which engines answered requests for which adapters. The caller passes in the current
-//! time; nothing here does I/O or reads a clock.
+//! chooses among the instances of a plain service, and [`CutOffHosts`] among other hosts that may
+//! serve a request. [`AttemptCounts`] decides whether a request is sent again, and [`RetryBudget`]
+//! limits retries over all hosts together. [`ObservedAdapters`] records which engines answered
+//! requests for which adapters. The caller passes in the current time; nothing here does I/O or
+//! reads a clock.
 
 pub mod budget;
 pub mod choose;
+pub mod detour;
 pub mod observed;
 pub mod outlier;
 pub mod reach;
@@ -23,6 +25,7 @@
     pub use crate::{
         budget::RetryBudget,
         choose::{choose_instance, preferred_instances, trial_candidates, untried_instances},
+        detour::{CutOffHosts, is_detour_due},
         observed::ObservedAdapters,
         outlier::{AttemptOutcome, OutlierDetector},
         reach::UpstreamReach,
--- a/crates/tarragon_node/src/detour.rs
+++ b/crates/tarragon_node/src/detour.rs
@@ -17,24 +17,16 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use rail_route::{Upstream, UpstreamState};
+use rail_route::{Upstream, UpstreamState, is_detour_due};
 use rail_site::{
     UpstreamResponseHeaders,
     headers::{detour_request_headers, is_cut_off_answer},
 };
 use rail_upstream::{SendError, UpstreamResponse};
 use rand::seq::{IteratorRandom, SliceRandom};
-use std::{
-    cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
-};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::{net::TcpStream, time::timeout};
 
-/// Attempts of one request that do not reach their upstream before another host gets it.
-const MAX_UNSENT_ATTEMPTS: u32 = 2;
-/// Most hosts that are asked to serve one request.
-const MAX_HOSTS: usize = 4;
-/// Time for which a host that reaches no upstream either is not asked.
-const CUT_OFF_PAUSE: Duration = Duration::from_secs(1);
 /// Longest idle time of a connection to another host that is used again.
 const MAX_IDLE: Duration = Duration::from_secs(4);
 /// `retry-after` for callers while no host reaches an upstream.
@@ -46,12 +38,6 @@
 /// Timeout of a connection that shows whether an upstream is reached.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Hosts that reach no upstream either, with the end of the time for which they are not asked.
-#[derive(Debug, Default)]
-pub struct Detours {
-    paused: RefCell<HashMap<SocketAddr, Duration>>,
-}
-
 /// How a request that was passed to other hosts ended.
 enum Detour {
     /// A host answered.
@@ -68,8 +54,7 @@
 /// upstream, or this many attempts of the request did not reach theirs. A request of another host
 /// goes no further.
 pub fn is_due(node: &Node, request: &CallerRequest, unsent_attempts: u32) -> bool {
-    !request.parsed_headers.is_detour
-        && (node.is_cut_off() || unsent_attempts >= MAX_UNSENT_ATTEMPTS)
+    !request.parsed_headers.is_detour && is_detour_due(node.is_cut_off(), unsent_attempts)
 }
 
 /// Answers a request through another host, or refuses it if the others reach no upstream either.
@@ -101,8 +86,7 @@
         return Detour::NoHost;
     }
     for (host, address) in hosts {
-        let paused_until = node.detours.paused.borrow().get(&address).copied();
-        if paused_until.is_some_and(|until| node.now() < until) {
+        if node.cut_off_hosts.borrow().is_paused(address, node.now()) {
             continue;
         }
         request.record_attempt();
@@ -120,27 +104,21 @@
         };
         request.record_not_run();
         node.metrics.detours.count(outcome);
-        let until = node.now() + CUT_OFF_PAUSE;
-        node.detours.paused.borrow_mut().insert(address, until);
+        node.cut_off_hosts.borrow_mut().record(address, node.now());
     }
     Detour::AllCutOff
 }
 
-/// Returns the live hosts that serve callers, in random order.
+/// Returns the live hosts that may serve a request, those that are cut off too last.
 fn hosts(node: &Node) -> Vec<(String, SocketAddr)> {
     let hosts = node.hosts.borrow();
     let others = hosts
         .live(node.now())
         .filter(|heartbeat| heartbeat.is_ready && heartbeat.host != node.settings.host);
     let others = others.map(|heartbeat| (heartbeat.host.clone(), heartbeat.caller_address));
-    let now = node.now();
-    let paused = node.detours.paused.borrow();
-    let is_paused = |address: &SocketAddr| paused.get(address).is_some_and(|until| now < *until);
     let mut others: Vec<_> = others.collect();
     others.shuffle(&mut rand::rng());
-    others.sort_by_key(|(_, address)| is_paused(address));
-    others.truncate(MAX_HOSTS);
-    others
+    node.cut_off_hosts.borrow().choose(others, node.now())
 }
 
 fn outgoing(request: &CallerRequest) -> Request<Full<Bytes>> {
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -1,7 +1,7 @@
 //! State of the process, shared by all its tasks on a single thread.
 
 use crate::{
-    bad_records::BadRecords, detour::Detours, dispatch::Dispatch, dispatch_calls::DispatchPauses,
+    bad_records::BadRecords, dispatch::Dispatch, dispatch_calls::DispatchPauses,
     drained_upstreams::DrainedUpstreams, engines::OwnedEngines, events::Events, hedges::Hedges,
     metrics::NodeMetrics, peers::Peers, quarantine::Quarantine, quotas::Quotas, registry::Registry,
     send_permits::SendPermits, shortage::ShortageReports, store_health::StoreHealth,
@@ -19,8 +19,8 @@
 use rail_place::ReplicaSpread;
 use rail_revision::{Era, Revision};
 use rail_route::{
-    AdapterVersions, ObservedAdapters, OutlierDetector, RetryBudget, RouteTable, ServiceId,
-    Upstream, UpstreamId, UpstreamReach, UpstreamState, UpstreamTable,
+    AdapterVersions, CutOffHosts, ObservedAdapters, OutlierDetector, RetryBudget, RouteTable,
+    ServiceId, Upstream, UpstreamId, UpstreamReach, UpstreamState, UpstreamTable,
 };
 use rail_runtime::{MonotonicClock, time_since_boot};
 use rail_site::{MetadataStore, NodeSettings, settings::Bounds};
@@ -127,8 +127,8 @@
     pub outlier_detector: RefCell<OutlierDetector>,
     /// Whether this host reaches upstreams.
     pub reach: RefCell<UpstreamReach>,
-    /// Requests that go through other hosts.
-    pub detours: Detours,
+    /// Hosts that reach no upstream either.
+    pub cut_off_hosts: RefCell<CutOffHosts>,
     /// Adapters that engines served through this host.
     pub observed_adapters: RefCell<ObservedAdapters>,
     /// Number of engines over which this host spreads each adapter.
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -2,8 +2,7 @@
 
 use crate::{
     bad_records::BadRecords,
-    caller_requests,
-    detour::{self, Detours},
+    caller_requests, detour,
     dispatch::{self, Dispatch},
     dispatch_calls::DispatchPauses,
     drained_upstreams::DrainedUpstreams,
@@ -153,7 +152,7 @@
         versions: RefCell::default(),
         outlier_detector: RefCell::default(),
         reach: RefCell::default(),
-        detours: Detours::default(),
+        cut_off_hosts: RefCell::default(),
         observed_adapters: RefCell::default(),
         replica_spread: RefCell::default(),
         hedges: Hedges::default(),
