A connection decides what an answer proves, and for which send

Callers saw: a request that must run at most once ran twice, when its id arrived a second time and an upstream wrote the first refusal again. Owners of engines took accepted orders for refused ones.

Cause: what an answer proves was decided with the request (`refused_by`), but it is a property of the connection. Calls without an id took any answer for theirs.

`rail_upstream::proof` decides which call an answer belongs to; requests, detours, orders, reports and probes all go through it. An answer that bears an id is never that of a call without one; a refusal without an id that is not the first answer of its connection proves nothing, for orders too. `refused_by` is gone.

Why it works: a copy of a refusal is written on the connection of that refusal, where its id is not sent again.

--- a/crates/rail_upstream/src/lib.rs
+++ b/crates/rail_upstream/src/lib.rs
@@ -7,7 +7,8 @@
 //! [`ConnectionPool`] serves plain HTTP upstreams where the caller must know
 //! whether a request was sent: a connection carries one request at a time and is
 //! reused only after a complete response. [`EventSplitter`] splits a stream into
-//! whole events, after any of which another attempt can resume it.
+//! whole events, after any of which another attempt can resume it. [`proof`] decides which call a
+//! response belongs to.
 
 pub mod body;
 pub mod engine;
@@ -15,6 +16,8 @@
 pub mod events;
 mod head_limit;
 pub mod pool;
+pub mod proof;
+mod refused_ids;
 
 /// Commonly used items.
 pub mod prelude {
@@ -24,6 +27,7 @@
         error::{Error, Result},
         events::{EventSplitter, max_stream_bytes},
         pool::{ConnectionPool, ConnectionTimeouts, SendError, UpstreamResponse},
+        proof::Attribution,
     };
 }
 pub use prelude::*;
--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -6,6 +6,8 @@
 use crate::{
     body::{BodyContent, BodyEnd, Completeness, Framing},
     head_limit::{HeadLimit, HeadLimitedStream},
+    proof::{Attribution, Evidence, attribute},
+    refused_ids::RefusedIds,
 };
 use bytes::Bytes;
 use http::{Method, Request, Response, response::Parts};
@@ -70,6 +72,7 @@
     address: SocketAddr,
     /// Whether a response has arrived on it.
     is_used: bool,
+    refused_ids: RefusedIds,
 }
 
 impl Drop for PooledConnection {
@@ -119,6 +122,8 @@
     body: Incoming,
     framing: Framing,
     connection: Option<PooledConnection>,
+    /// Id with which the request was sent.
+    sent_id: Option<String>,
     is_first_on_connection: bool,
     /// How the body ended; `None` until then.
     end: Option<BodyEnd>,
@@ -165,7 +170,7 @@
         drop(closing);
     }
 
-    /// Sends a request and waits for the response head.
+    /// Sends a request without an id and waits for the response head.
     ///
     /// Reuses an idle connection only if it was idle for less than `max_idle`.
     ///
@@ -178,48 +183,76 @@
         request: Request<Full<Bytes>>,
         max_idle: Duration,
     ) -> Result<UpstreamResponse> {
-        let mut request = request;
-        while let Some(connection) = self.acquire_idle(address, max_idle) {
-            match exchange(connection, request).await {
-                Ok(response) => return Ok(response),
-                // The upstream had already closed the connection; nothing was sent.
-                Err(ExchangeError::NotSent(returned)) => request = *returned,
-                Err(ExchangeError::Failed(error)) => return Err(error),
-            }
-        }
-        self.send_on_new_connection(address, request).await
+        self.send_call(address, request, None, max_idle).await
     }
 
-    /// Sends a request on a connection of its own and waits for the response head. Bytes that the
-    /// upstream writes on another connection can't be taken for its response.
+    /// Sends a request with an id as [`ConnectionPool::send`] does, but not on a connection on which
+    /// this id was refused: a copy of that refusal would bear the id too.
     ///
     /// # Errors
     /// As [`ConnectionPool::send`].
-    pub async fn send_on_new_connection(
+    pub async fn send_identified(
         &self,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        id: &str,
+        max_idle: Duration,
+    ) -> Result<UpstreamResponse> {
+        self.send_call(address, request, Some(id), max_idle).await
+    }
+
+    async fn send_call(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        id: Option<&str>,
+        max_idle: Duration,
     ) -> Result<UpstreamResponse> {
+        let mut request = request;
+        while let Some(connection) = self.acquire_idle(address, id, max_idle) {
+            match exchange(connection, request, id).await {
+                Ok(response) => return Ok(response),
+                // The upstream had already closed the connection; nothing was sent.
+                Err(ExchangeError::NotSent(returned)) => request = *returned,
+                Err(ExchangeError::Failed(error)) => return Err(error),
+            }
+        }
         let connection = self.connect(address).await?;
-        exchange(connection, request).await.map_err(|failure| match failure {
+        exchange(connection, request, id).await.map_err(|failure| match failure {
             ExchangeError::NotSent(_) => SendError::NotSent,
             ExchangeError::Failed(error) => error,
         })
     }
 
-    fn acquire_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<PooledConnection> {
+    /// Returns the connection that was used last of those on which the id was not refused.
+    fn acquire_idle(
+        &self,
+        address: SocketAddr,
+        id: Option<&str>,
+        max_idle: Duration,
+    ) -> Option<PooledConnection> {
         let now = Instant::now();
         let mut idle = self.state.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(IdleConnection { connection, usable_until, idle_since }) = connections.pop()
-        {
-            let is_fresh = now < usable_until && now < idle_since + max_idle;
-            if is_fresh && connection.sender.is_ready() {
-                return Some(connection);
+        let mut passed_over = Vec::new();
+        let mut acquired = None;
+        while let Some(candidate) = connections.pop() {
+            let is_fresh = now < candidate.usable_until && now < candidate.idle_since + max_idle;
+            if !is_fresh || !candidate.connection.sender.is_ready() {
+                continue;
             }
+            if id.is_some_and(|id| candidate.connection.refused_ids.contains(id)) {
+                passed_over.push(candidate);
+                continue;
+            }
+            acquired = Some(candidate.connection);
+            break;
+        }
+        connections.extend(passed_over.into_iter().rev());
+        if connections.is_empty() {
+            idle.remove(&address);
         }
-        idle.remove(&address);
-        None
+        acquired
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<PooledConnection> {
@@ -246,7 +279,15 @@
         self.state.opened.set(self.state.opened.get() + 1);
         self.state.adjust_open_count(address, 1);
         let pool = Rc::clone(&self.state);
-        Ok(PooledConnection { sender, task, head_limit, pool, address, is_used: false })
+        Ok(PooledConnection {
+            sender,
+            task,
+            head_limit,
+            pool,
+            address,
+            is_used: false,
+            refused_ids: RefusedIds::default(),
+        })
     }
 }
 
@@ -261,13 +302,14 @@
 async fn exchange(
     mut connection: PooledConnection,
     request: Request<Full<Bytes>>,
+    id: Option<&str>,
 ) -> std::result::Result<UpstreamResponse, ExchangeError> {
     let method = request.method().clone();
     connection.head_limit.start();
     let result = connection.sender.try_send_request(request).await;
     connection.head_limit.end();
     match result {
-        Ok(response) => Ok(UpstreamResponse::new(&method, response, connection)),
+        Ok(response) => Ok(UpstreamResponse::new(&method, response, connection, id)),
         Err(mut error) => Err(match error.take_message() {
             Some(request) => ExchangeError::NotSent(Box::new(request)),
             None => ExchangeError::Failed(SendError::Lost),
@@ -276,7 +318,12 @@
 }
 
 impl UpstreamResponse {
-    fn new(method: &Method, response: Response<Incoming>, connection: PooledConnection) -> Self {
+    fn new(
+        method: &Method,
+        response: Response<Incoming>,
+        connection: PooledConnection,
+        id: Option<&str>,
+    ) -> Self {
         let (head, body) = response.into_parts();
         let framing = Framing::of(method, &head);
         let mut connection = connection;
@@ -286,15 +333,24 @@
             body,
             framing,
             connection: Some(connection),
+            sent_id: id.map(str::to_owned),
             is_first_on_connection,
             end: None,
         }
     }
 
-    /// Returns whether no other response came before on the connection, so that this one can't
-    /// belong to an earlier request.
-    pub fn is_first_on_connection(&self) -> bool {
-        self.is_first_on_connection
+    /// Decides which call the response belongs to, from the id that it names and whether it states
+    /// that its request did not run. An id that is refused is not sent on this connection again.
+    pub fn attribute(&mut self, answered_id: Option<&str>, is_refusal: bool) -> Attribution {
+        if is_refusal && let (Some(connection), Some(id)) = (&mut self.connection, &self.sent_id) {
+            connection.refused_ids.insert(id);
+        }
+        attribute(&Evidence {
+            sent_id: self.sent_id.as_deref(),
+            answered_id,
+            is_refusal,
+            is_first_on_connection: self.is_first_on_connection,
+        })
     }
 
     /// Returns how the response marks the end of its body.
@@ -416,7 +472,8 @@
         let Some(connection) = self.connection.take() else { return };
         let closes_connection = header_contains(&self.head, http::header::CONNECTION, "close");
         let is_complete = self.end == Some(BodyEnd::Marked);
-        if !is_complete || closes_connection || connection.sender.is_closed() {
+        let is_full = connection.refused_ids.is_full();
+        if !is_complete || closes_connection || is_full || connection.sender.is_closed() {
             return;
         }
         let now = Instant::now();
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: sends a request to one upstream and classifies the response head.
 
 use crate::{
-    access, drained_upstreams,
+    access, attribution, drained_upstreams,
     events::Event,
     lost_runs,
     node::SharedNode,
@@ -16,7 +16,7 @@
 use rail_site::{
     UpstreamRequestHeaders, UpstreamResponseHeaders, headers::upstream_request_headers,
 };
-use rail_upstream::{SendError, UpstreamResponse};
+use rail_upstream::{Attribution, SendError, UpstreamResponse};
 use rail_workspace::KeyRefusal;
 use std::{
     sync::Arc,
@@ -228,14 +228,9 @@
     *outgoing.headers_mut() = upstream_request_headers(headers, &added_headers);
     let is_retryable = request.route.kind.is_retryable();
     let max_idle = if is_retryable { MAX_IDLE_RETRYABLE } else { MAX_IDLE_NON_RETRYABLE };
-    // An upstream may write an earlier refusal once more on its connection; it names this request.
-    let was_refused = request.refused_by.borrow().contains(&upstream.id);
-    let sent = if was_refused {
-        node.links.send_on_new_connection(upstream.address, outgoing).await
-    } else {
-        node.links.send(upstream.address, outgoing, max_idle).await
-    };
-    let response = match sent {
+    let id = &request.parsed_headers.request_id;
+    let sent = node.links.send_identified(upstream.address, outgoing, id, max_idle).await;
+    let mut response = match sent {
         Ok(response) => response,
         Err(SendError::NotSent) => return Attempt::NotSent,
         Err(SendError::Lost) => return Attempt::Lost(CONNECTION_LOST),
@@ -244,25 +239,17 @@
     if let Some(load) = response_headers.load {
         node.upstream_loads.record_report(&upstream.id, load);
     }
-    let is_other_request = response_headers
-        .request_id
-        .as_ref()
-        .is_some_and(|id| *id != request.parsed_headers.request_id);
-    if is_other_request {
-        return Attempt::Lost("other_answer");
+    match attribution::attribute(&mut response, &response_headers) {
+        Attribution::Own => {}
+        Attribution::Other => return Attempt::Lost("other_answer"),
+        Attribution::Unproven => return Attempt::Lost("unnamed_refusal"),
     }
     record_statements(node, upstream, &response_headers, response.head.status);
-    // A refusal that names no request may be an earlier one, written again.
-    let names_request = response_headers.request_id.is_some();
-    if response_headers.is_not_run && !names_request && !response.is_first_on_connection() {
-        return Attempt::Lost("unnamed_refusal");
-    }
     if response_headers.is_not_run {
         let status = response.head.status;
         if status == StatusCode::SERVICE_UNAVAILABLE {
             send_permits::record_refusal(node, upstream, response_headers.refusal);
         }
-        request.refused_by.borrow_mut().push(upstream.id.clone());
         discard_refusal_body(response);
         return Attempt::NotRun(status);
     }
--- a/crates/tarragon_node/src/caller_requests.rs
+++ b/crates/tarragon_node/src/caller_requests.rs
@@ -158,7 +158,6 @@
         connection_end,
         record_ages: Cell::new(node.record_ages()),
         sent_version: Cell::default(),
-        refused_by: RefCell::default(),
         limit: Cell::new(None),
         software: RefCell::default(),
         pin: RefCell::default(),
--- a/crates/tarragon_node/src/detour.rs
+++ b/crates/tarragon_node/src/detour.rs
@@ -5,6 +5,7 @@
 //! that may have begun to run it.
 
 use crate::{
+    attribution,
     engine_grants::Grant,
     engine_requests::StartedResponse,
     node::{Node, SharedNode},
@@ -22,7 +23,7 @@
     UpstreamResponseHeaders,
     headers::{detour_request_headers, is_cut_off_answer},
 };
-use rail_upstream::{SendError, UpstreamResponse};
+use rail_upstream::{Attribution, SendError, UpstreamResponse};
 use rand::seq::{IteratorRandom, SliceRandom};
 use std::{
     cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
@@ -106,9 +107,12 @@
             continue;
         }
         request.record_attempt();
-        let outcome = match node.links.send(address, outgoing(request), MAX_IDLE).await {
+        let id = &request.parsed_headers.request_id;
+        let mut sent = node.links.send_identified(address, outgoing(request), id, MAX_IDLE).await;
+        let is_usable = sent.as_mut().is_ok_and(is_usable);
+        let outcome = match sent {
             Ok(response) if is_cut_off_answer(&response.head) => "host_cut_off",
-            Ok(response) if is_usable(&response, request) => {
+            Ok(response) if is_usable => {
                 node.metrics.detours.count("answered");
                 return Detour::Answered(Box::new(started(host, address, response)));
             }
@@ -152,12 +156,12 @@
     outgoing
 }
 
-/// Returns whether a response is that of this request: a success is signed by its upstream.
-fn is_usable(response: &UpstreamResponse, request: &CallerRequest) -> bool {
+/// Returns whether a response is that of its request: a success is signed by its upstream. Hosts may
+/// refuse without naming the request, and write no refusal twice.
+fn is_usable(response: &mut UpstreamResponse) -> bool {
     let headers = UpstreamResponseHeaders::read(&response.head);
-    let is_own =
-        headers.request_id.as_ref().is_none_or(|id| *id == request.parsed_headers.request_id);
-    is_own && (headers.is_signed || !response.head.status.is_success())
+    let is_other = attribution::attribute(response, &headers) == Attribution::Other;
+    !is_other && (headers.is_signed || !response.head.status.is_success())
 }
 
 /// Returns the response of a host as that of an upstream, which holds no grant here.
--- a/crates/tarragon_node/src/engine_orders.rs
+++ b/crates/tarragon_node/src/engine_orders.rs
@@ -1,6 +1,6 @@
 //! Orders to owned engines, and their reports.
 
-use crate::{engines::EngineDriver, events::Event, node::SharedNode};
+use crate::{attribution, engines::EngineDriver, events::Event, node::SharedNode};
 use rail_place::owner::{OrderKind, OrderResult, OwnerReport};
 use rail_site::engine::{
     EngineOrder, EngineReport, OrderOutcome, OrderPreconditions, decode_report, order_outcome,
@@ -57,16 +57,20 @@
     let request = order_request(&address.to_string(), &requested_order(order), &preconditions);
     let exchange = async {
         let mut response = node.links.send(address, request, MAX_CONNECTION_IDLE).await?;
+        if !attribution::is_own(&mut response) {
+            return Ok(None);
+        }
         let outcome = order_outcome(response.head.status);
         if response.read(MAX_REPORT_BYTES).await.is_ok() {
             response.return_connection();
         }
-        Ok::<_, SendError>(outcome)
+        Ok::<_, SendError>(Some(outcome))
     };
     let (result, outcome) = match tokio::time::timeout(ORDER_TIMEOUT, exchange).await {
         Err(_) | Ok(Err(SendError::Lost)) => (OrderResult::Unknown, "no_answer"),
         Ok(Err(SendError::NotSent)) => (OrderResult::NotSent, "not_sent"),
-        Ok(Ok(outcome)) => match outcome {
+        Ok(Ok(None)) => (OrderResult::Unknown, "other_answer"),
+        Ok(Ok(Some(outcome))) => match outcome {
             OrderOutcome::Accepted if matches!(order, OrderKind::Unload(_)) => {
                 (OrderResult::Pending, "accepted")
             }
@@ -143,6 +147,9 @@
     let request = report_request(&address.to_string());
     let exchange = async {
         let mut response = node.links.send(address, request, MAX_CONNECTION_IDLE).await.ok()?;
+        if !attribution::is_own(&mut response) {
+            return None;
+        }
         let body = response.read_json(MAX_REPORT_BYTES).await.ok()?;
         let report = decode_report(&body).ok()?;
         response.return_connection();
--- a/crates/tarragon_node/src/main.rs
+++ b/crates/tarragon_node/src/main.rs
@@ -6,6 +6,7 @@
 
 mod access;
 mod attempt;
+mod attribution;
 mod bad_records;
 mod caller_connection;
 mod caller_requests;
--- a/crates/tarragon_node/src/request.rs
+++ b/crates/tarragon_node/src/request.rs
@@ -16,7 +16,7 @@
 use rail_memory::MemoryHold;
 use rail_origin::SoftwarePin;
 use rail_request::{Fingerprint, QuarantineKey};
-use rail_route::{AdapterVersion, Route, RouteKind, SoftwareVersion, Upstream, UpstreamId};
+use rail_route::{AdapterVersion, Route, RouteKind, SoftwareVersion, Upstream};
 use rail_site::{CallerHeaders, headers::WorkspaceHeader};
 use rail_upstream::{BodyContent, BodyEnd, Completeness, Framing, UpstreamResponse};
 use rail_workspace::Workspace;
@@ -67,8 +67,6 @@
     pub answering_since: Cell<Option<Instant>>,
     /// Adapter version that the upstream of the current run had to have; `None` if any could run it.
     pub sent_version: Cell<Option<AdapterVersion>>,
-    /// Upstreams that stated that they did not run the request.
-    pub refused_by: RefCell<Vec<UpstreamId>>,
     /// Number of attempts so far.
     pub attempts: Cell<u32>,
     /// Attempts that did not run, since they were refused or not sent.
--- a/crates/tarragon_node/src/upstream_ends.rs
+++ b/crates/tarragon_node/src/upstream_ends.rs
@@ -6,6 +6,7 @@
 //! nothing is silent: it may have ended behind a port that outlives it.
 
 use crate::{
+    attribution,
     events::Event,
     node::{Node, SharedNode},
 };
@@ -292,6 +293,9 @@
     let Ok(mut response) = node.links.send(upstream.address, request, Duration::ZERO).await else {
         return Probe::Silent;
     };
+    if !attribution::is_own(&mut response) {
+        return Probe::Silent;
+    }
     let Ok(body) = response.read(MAX_PROBE_BYTES).await else { return Probe::Silent };
     if is_engine {
         let Ok(report) = decode_report(&body) else { return Probe::Silent };
