--- a/crates/rail_upstream/src/body.rs
+++ b/crates/rail_upstream/src/body.rs
@@ -27,7 +27,7 @@
             || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         if has_no_body {
             Self::Empty
-        } else if crate::pool::header_contains(head, TRANSFER_ENCODING, "chunked") {
+        } else if header_contains(head, TRANSFER_ENCODING, "chunked") {
             Self::Chunked
         } else if head.headers.contains_key(TRANSFER_ENCODING) {
             Self::UntilClose
@@ -125,3 +125,12 @@
         }
     }
 }
+
+/// Returns whether a header, a list of tokens, contains this one.
+pub(crate) fn header_contains(head: &Parts, name: http::header::HeaderName, token: &str) -> bool {
+    let values = head.headers.get_all(name);
+    values
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| value.split(',').any(|part| part.trim().eq_ignore_ascii_case(token)))
+}
--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -4,7 +4,7 @@
 //! the upstream can stop working on the request.
 
 use crate::{
-    body::{BodyContent, BodyEnd, Completeness, Framing},
+    body::{BodyContent, BodyEnd, Completeness, Framing, header_contains},
     head_limit::{HeadLimit, HeadLimitedStream},
     proof::{Attribution, Evidence, attribute},
     refused_ids::RefusedIds,
@@ -488,14 +488,6 @@
     serde_json::from_slice::<serde::de::IgnoredAny>(body).is_ok()
 }
 
-pub(crate) fn header_contains(head: &Parts, name: http::header::HeaderName, token: &str) -> bool {
-    let values = head.headers.get_all(name);
-    values
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .any(|value| value.split(',').any(|part| part.trim().eq_ignore_ascii_case(token)))
-}
-
 fn keep_alive_time(head: &Parts) -> Option<Duration> {
     let value = head.headers.get("keep-alive")?.to_str().ok()?;
     let part = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
