An earlier revision of a removed upstream doesn't keep it

Found by the review, by reading: a host that knows from a listing that an upstream is gone gets an earlier revision of its record from a source that lags behind, and the deferred removal ended. Change: only a later revision than the one at which the record was gone ends the removal. an_earlier_revision_of_a_removed_record_keeps_it fails without the comparison.

--- a/crates/rail_member/src/removal.rs
+++ b/crates/rail_member/src/removal.rs
@@ -28,9 +28,12 @@
         known.due_at = known.due_at.min(due_at);
     }
 
-    /// Records that a record has come back, so that it stays.
-    pub fn cancel(&mut self, name: &str) {
-        self.removals.remove(name);
+    /// Records that a record has come back at a revision, so that it stays. An earlier revision, which
+    /// arrives late from another source, was gone too.
+    pub fn cancel(&mut self, name: &str, revision: Revision) {
+        if self.removals.get(name).is_some_and(|removal| removal.gone_at < revision) {
+            self.removals.remove(name);
+        }
     }
 
     /// Ends the removal of a record if it is due, and returns the revision at which the record was
--- a/crates/rail_member/tests/deferred_removals.rs
+++ b/crates/rail_member/tests/deferred_removals.rs
@@ -16,7 +16,7 @@
 fn the_timer_of_an_earlier_removal_ends_a_later_one() {
     let mut removals = DeferredRemovals::default();
     removals.defer("u1", revision(5), 1900 * MS);
-    removals.cancel("u1");
+    removals.cancel("u1", revision(7));
     removals.defer("u1", revision(8), 2400 * MS);
     assert_eq!(removals.take_due("u1", 1900 * MS), None, "it is not due");
     assert_eq!(removals.take_due("u1", 2400 * MS), Some(revision(8)));
@@ -38,6 +38,16 @@
 fn a_record_that_has_come_back_is_removed() {
     let mut removals = DeferredRemovals::default();
     removals.defer("u1", revision(5), 1900 * MS);
-    removals.cancel("u1");
+    removals.cancel("u1", revision(6));
     assert_eq!(removals.take_due("u1", 1900 * MS), None);
 }
+
+/// Guards against an upstream that is kept, since a source that lags behind delivers an earlier
+/// revision of its record after it was gone.
+#[test]
+fn an_earlier_revision_of_a_removed_record_keeps_it() {
+    let mut removals = DeferredRemovals::default();
+    removals.defer("u1", revision(20), 1900 * MS);
+    removals.cancel("u1", revision(15));
+    assert_eq!(removals.take_due("u1", 1900 * MS), Some(revision(20)));
+}
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -253,7 +253,7 @@
     node.metrics.records.count(put_outcome.name());
     // The record of an engine's owner has the name of the engine.
     if kind == RecordKind::Upstreams && put_outcome != PutOutcome::Stale {
-        registry.possibly_expired.borrow_mut().cancel(name);
+        registry.possibly_expired.borrow_mut().cancel(name, revision);
     }
     // Followers must not keep the revision of an earlier era.
     if matches!(put_outcome, PutOutcome::Changed | PutOutcome::UnchangedInNewEra) {
@@ -282,8 +282,9 @@
     node.records_changed.notify_waiters();
 }
 
-/// Applies the removal of a record that was gone at a revision of the store. After a store outage, the removal of an upstream is deferred by
-/// [`REREGISTRATION_GRACE`], since its record may only have expired during the outage.
+/// Applies the removal of a record that was gone at a revision of the store. After a store outage, the
+/// removal of an upstream is deferred by [`REREGISTRATION_GRACE`], since its record may only have
+/// expired during the outage.
 pub fn remove_record(node: &SharedNode, kind: RecordKind, name: &str, revision: Revision) {
     let store_recovered_at = node.registry.store_recovered_at.get();
     let (now, due_at) = (node.now(), store_recovered_at + REREGISTRATION_GRACE);
