The first answer of a connection belongs to its first call, and loads come from own answers only

An upstream that puts an id of its own on answers to calls without one would have got no order, report or probe through, although nothing else can be answered first on a connection: the table's row (no id sent, an id answered, refusal, first) is now two, of which only the later answer is another call's. The load that an answer states was recorded before it was known whose answer it is; a copy's load is an old one.

--- a/crates/rail_route/src/retry.rs
+++ b/crates/rail_route/src/retry.rs
@@ -7,7 +7,7 @@
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(10);
 /// Attempts of one request that may fail before the upstream receives it.
 const MAX_UNSENT_ATTEMPTS: u32 = 4;
-/// Attempts after refusals that every route allows, as a refused request has not run.
+/// Attempts in all that every route allows if they are refused, as a refused request has not run.
 const MIN_ATTEMPTS_AFTER_REFUSAL: u32 = 2;
 
 /// How an attempt failed.
--- a/crates/rail_upstream/src/proof.rs
+++ b/crates/rail_upstream/src/proof.rs
@@ -33,6 +33,11 @@
         let may_be_copy = evidence.is_refusal && !evidence.is_first_on_connection;
         return if may_be_copy { Attribution::Unproven } else { Attribution::Own };
     };
-    // An id is not sent on a connection on which it was refused, so there it names only one send.
-    if evidence.sent_id == Some(answered_id) { Attribution::Own } else { Attribution::Other }
+    match evidence.sent_id {
+        // An id is not sent on a connection on which it was refused, so there it names only one send.
+        Some(sent_id) if sent_id == answered_id => Attribution::Own,
+        // There was no other call on the connection.
+        None if evidence.is_first_on_connection => Attribution::Own,
+        Some(_) | None => Attribution::Other,
+    }
 }
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -250,14 +250,14 @@
         Err(SendError::Lost) => return Attempt::Lost(CONNECTION_LOST),
     };
     let response_headers = UpstreamResponseHeaders::read(&response.head);
-    if let Some(load) = response_headers.load {
-        node.upstream_loads.record_report(&upstream.id, load);
-    }
     match attribution::attribute(&mut response, &response_headers) {
         Attribution::Own => {}
         Attribution::Other => return Attempt::Lost("other_answer"),
         Attribution::Unproven => return Attempt::Lost("unnamed_refusal"),
     }
+    if let Some(load) = response_headers.load {
+        node.upstream_loads.record_report(&upstream.id, load);
+    }
     record_statements(node, upstream, &response_headers, response.head.status);
     if response_headers.is_not_run {
         let status = response.head.status;
