A newer version replaces an adapter that no request has tried yet

Cause: an owner replaces only resident adapters, and a loaded one becomes resident when a request has tried it.

Change: an outdated adapter that no request has tried is replaced too, once its load has surely ended (400 ms after the estimate, as for its eviction); one that older runs still use, not before its time.

Measured: the new test failed before (no order for version 3 within 5 s of its announcement) and passes; all tests of rail_place pass.

--- a/crates/rail_place/src/owner/load_states.rs
+++ b/crates/rail_place/src/owner/load_states.rs
@@ -1,7 +1,7 @@
 //! States of loaded adapters over time, and loads of newer versions.
 
 use super::{
-    EngineOwner,
+    EngineOwner, UNTRIED_LOAD_TIME,
     adapter::{AdapterEntry, LoadState},
     message::{AdapterPath, OrderKind},
 };
@@ -39,15 +39,14 @@
         }
     }
 
-    /// Orders a load of the newest version of each resident adapter that is outdated: at once if it is
+    /// Orders a load of the newest version of each loaded adapter that is outdated: at once if it is
     /// idle, else when the next newer version has been announced for some time.
     pub(super) fn replace_versions(&mut self, now: Duration) {
         if self.accepted_orders.is_none() {
             return;
         }
         let is_due = |path: &str, entry: &AdapterEntry| {
-            let forced_at = self.forced_replacement_at(path, entry);
-            forced_at.is_some_and(|forced_at| entry.in_use == 0 || now >= forced_at)
+            self.replacement_at(path, entry).is_some_and(|replacement_at| now >= replacement_at)
         };
         let due = self.adapters.iter().filter(|(path, entry)| is_due(path, entry));
         let stale: Vec<(AdapterPath, AdapterVersion)> = due
@@ -65,21 +64,28 @@
         }
     }
 
-    /// Returns the time of the next replacement of an adapter in use.
+    /// Returns the time of the next replacement of an adapter.
     pub(super) fn next_replacement(&self) -> Option<Duration> {
         self.accepted_orders?;
-        let forced = self
-            .adapters
-            .iter()
-            .filter_map(|(path, entry)| self.forced_replacement_at(path, entry));
-        forced.min()
+        let times = self.adapters.iter();
+        times.filter_map(|(path, entry)| self.replacement_at(path, entry)).min()
     }
 
-    /// Returns the time at which a resident adapter is replaced although it is in use; `None` if it
-    /// has the newest version.
-    fn forced_replacement_at(&self, path: &str, entry: &AdapterEntry) -> Option<Duration> {
+    /// Returns the time at which an adapter is replaced; `None` if it has the newest version or its
+    /// load may not have ended.
+    fn replacement_at(&self, path: &str, entry: &AdapterEntry) -> Option<Duration> {
         let force_after = self.version_timeout.mul_f64(FORCED_REPLACEMENT_SHARE);
         let forced_at = self.announced.outdated_at(path, entry.version, force_after)?;
-        (entry.state == LoadState::Resident).then_some(forced_at)
+        let free_at = if entry.in_use == 0 { Duration::ZERO } else { forced_at };
+        match entry.state {
+            LoadState::Resident => Some(free_at),
+            // No request may ever try it, which would show that its load has ended.
+            LoadState::Unconfirmed { until } if !entry.was_tried => {
+                Some(free_at.max(until + UNTRIED_LOAD_TIME))
+            }
+            LoadState::Unconfirmed { .. } | LoadState::Loading { .. } | LoadState::Unloading => {
+                None
+            }
+        }
     }
 }
--- a/crates/rail_place/tests/owner.rs
+++ b/crates/rail_place/tests/owner.rs
@@ -225,6 +225,27 @@
     assert_eq!(owner.poll(ms(2100), true), [OwnerCommand::Order(load_newest, 0)]);
 }
 
+/// Guards against an adapter that no request has tried since its load and that newer versions never
+/// replace, so that the next requests find an old version at every engine.
+#[test]
+fn a_newer_version_does_not_replace_an_adapter_that_no_request_has_tried() {
+    let mut owner = owner(4, &[("a", 1)]);
+    let load_version = |version| OrderKind::Load(format!("{MODEL}/a"), Some(version));
+    owner.record_version("base/a", 2, Some(ms(10)));
+    assert_eq!(owner.poll(ms(10), true), [OwnerCommand::Order(load_version(2), 0)]);
+    owner.finish_order(OrderResult::Accepted, ms(12));
+    assert_eq!(owner.poll(ms(3000), true), []);
+    owner.record_version("base/a", 3, Some(ms(3000)));
+    let replaced_by = ms(3000) + VERSION_TIMEOUT;
+    let mut orders = Vec::new();
+    let mut now = ms(3000);
+    while now < replaced_by && orders.is_empty() {
+        orders = owner.poll(now, true);
+        now += ms(500);
+    }
+    assert_eq!(orders, [OwnerCommand::Order(load_version(3), 1)]);
+}
+
 #[test]
 fn a_request_is_refused_when_the_prompt_backlog_exceeds_its_limit() {
     let mut owner = owner(4, &[("a", 1)]);
