The log tells who chose an upstream that turned a request away, and which services are brittle

Neither log nor metrics told. Attempts now name who chose and how many own requests are there, a line says when a service becomes brittle, and upstream_refusals counts refusals by who had chosen. No decision changes.

--- a/crates/rail_dispatch/src/loads.rs
+++ b/crates/rail_dispatch/src/loads.rs
@@ -60,6 +60,11 @@
         load.reports_pace |= report.pace.is_some();
     }
 
+    /// Returns the number of this host's requests on an upstream.
+    pub fn in_flight(&self, id: &str) -> u32 {
+        self.entries.borrow().get(id).map_or(0, |load| load.in_flight)
+    }
+
     /// Returns the last report of an upstream.
     pub fn last_report(&self, id: &str) -> Option<LoadReport> {
         self.entries.borrow().get(id).and_then(|load| load.last_report)
--- a/crates/rail_limit/src/lib.rs
+++ b/crates/rail_limit/src/lib.rs
@@ -6,7 +6,9 @@
 //! [`PermitIssuer`]; [`rank_issuers`] names that host, and the next one, which stands in for it.
 //!
 //! An upstream that turns a request away may want to be left alone: [`Refusal`] says for how long.
+//! [`BrittleServices`] are those whose upstreams fall over when they turn many away.
 
+pub mod brittle;
 pub mod issuer;
 pub mod known;
 pub mod pause;
@@ -15,6 +17,7 @@
 /// Commonly used items.
 pub mod prelude {
     pub use crate::{
+        brittle::BrittleServices,
         issuer::{IssuerRank, IssuingShare, Permit, PermitIssuer, rank_issuers},
         known::{KnownLimits, Limit, LimitKey},
         pause::{Refusal, UpstreamPauses},
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt: sends a request to one upstream and classifies the response head.
 
 use crate::{
-    access, attribution, drained_upstreams, engine_grants,
+    access, attribution, brittle_services, drained_upstreams, engine_grants,
     events::Event,
     lost_runs,
     node::SharedNode,
@@ -14,7 +14,7 @@
 use http::{Request, StatusCode, header::CONTENT_ENCODING};
 use http_body_util::Full;
 use rail_place::AdapterVersion;
-use rail_route::{AttemptOutcome, Upstream};
+use rail_route::{AttemptOutcome, ChosenBy, Upstream};
 use rail_runtime::time_since_boot;
 use rail_site::{
     UpstreamRequestHeaders, UpstreamResponseHeaders, headers::upstream_request_headers,
@@ -68,6 +68,8 @@
 pub struct AttemptOptions<'a> {
     /// Permission under which the request runs.
     pub admission: &'a Admission,
+    /// Who chose the upstream.
+    pub chosen_by: ChosenBy,
     /// Adapter version that must run the request; `None` if any may.
     pub version: Option<u64>,
     /// Id of the event after which a resumed stream continues.
@@ -153,6 +155,8 @@
             took_ms: started_at.elapsed().as_millis() as u64,
             status: upstream_status(&attempt),
             outcome,
+            chosen_by: options.chosen_by.name(),
+            own_requests: node.upstream_loads.in_flight(&upstream.id),
             record_ages: request.record_ages.get(),
         });
     }
@@ -262,6 +266,7 @@
     if response_headers.is_not_run {
         let status = response.head.status;
         if status == StatusCode::SERVICE_UNAVAILABLE {
+            node.metrics.upstream_refusals.count(options.chosen_by.name());
             send_permits::record_refusal(node, upstream, response_headers.refusal);
         }
         discard_refusal_body(response);
@@ -285,6 +290,8 @@
     let is_own = headers.is_signed || headers.request_id.is_some();
     if is_own && status != StatusCode::MISDIRECTED_REQUEST {
         send_permits::record_answer(node, upstream, headers.limit);
+        let max_refusals_per_s = headers.refusal.max_refusals_per_s;
+        brittle_services::record_answer(node, &upstream.service, max_refusals_per_s);
         if headers.is_leaving {
             drained_upstreams::record_leaving(node, upstream);
         }
--- /dev/null
+++ b/crates/tarragon_node/src/brittle_services.rs
@@ -0,0 +1,21 @@
+//! What answers say of services whose upstreams fall over when they turn many requests away.
+
+use crate::{events::Event, node::Node};
+use rail_route::ServiceId;
+
+/// Records the refusals a second that an upstream of a service says to survive, `None` if it says
+/// nothing of that.
+pub fn record_answer(node: &Node, service: &ServiceId, max_refusals_per_s: Option<u32>) {
+    let mut services = node.brittle_services.borrow_mut();
+    if services.record_answer(service, max_refusals_per_s, node.now()) {
+        let max_refusals_per_s = services.max_refusals_per_s(service);
+        node.events.important(&Event::BrittleService { service, max_refusals_per_s });
+    }
+}
+
+/// Removes services that the configuration does not contain.
+pub fn prune(node: &Node) {
+    let Some(routes) = node.routes.borrow().clone() else { return };
+    let is_known = |service: &str| routes.services.contains_key(service);
+    node.brittle_services.borrow_mut().prune(is_known);
+}
--- a/crates/tarragon_node/src/engine_grants.rs
+++ b/crates/tarragon_node/src/engine_grants.rs
@@ -9,7 +9,7 @@
 };
 use rail_peer::{GrantRelease, GrantRequest};
 use rail_place::{GrantOutcome, GrantSearch, StreamTiming, WaitLimits, rank_engines};
-use rail_route::{AdapterVersion, Upstream, UpstreamId};
+use rail_route::{AdapterVersion, ChosenBy, Upstream, UpstreamId};
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -36,6 +36,14 @@
 }
 
 impl Grant {
+    /// Returns who chose the engine.
+    pub fn chosen_by(&self) -> ChosenBy {
+        match self {
+            Self::Local(_) | Self::Remote(_) => ChosenBy::Owner,
+            Self::Assumed => ChosenBy::HostWithoutOwner,
+        }
+    }
+
     /// Releases the grant and tells the owner how the request ended.
     pub fn release(self, outcome: GrantOutcome, timing: Option<StreamTiming>) {
         let release = GrantRelease { outcome, timing };
--- a/crates/tarragon_node/src/engine_requests.rs
+++ b/crates/tarragon_node/src/engine_requests.rs
@@ -98,7 +98,8 @@
         if granted_version != version {
             return None;
         }
-        let options = AttemptOptions { admission: &admission, version, resume_after };
+        let chosen_by = grant.chosen_by();
+        let options = AttemptOptions { admission: &admission, chosen_by, version, resume_after };
         match attempt::send(node, request, &upstream, options).await {
             Attempt::Responded(upstream_response) if resumes(request, &upstream_response) => {
                 record_served_adapter(node, request, &upstream, upstream_response.head.status);
@@ -242,7 +243,8 @@
         retry_state.current_trial = admission.trial_run();
         retry_state.is_sent = true;
         let resume_after = request.parsed_headers.last_event_id.as_deref();
-        let options = AttemptOptions { admission: &admission, version, resume_after };
+        let chosen_by = grant.chosen_by();
+        let options = AttemptOptions { admission: &admission, chosen_by, version, resume_after };
         let reason = match attempt::send(node, request, &upstream, options).await {
             Attempt::Responded(upstream_response) => {
                 record_served_adapter(node, request, &upstream, upstream_response.head.status);
--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -50,6 +50,9 @@
     Upstream { upstream: &'a str, service: &'a str, state: &'a str, revision: Revision },
     /// An upstream names another limit of requests than before, or none any more.
     UpstreamLimit { upstream: &'a str, limit_per_s: Option<f64> },
+    /// The upstreams of a service say that they fall over when they turn away more requests a
+    /// second than this, or don't say so any more.
+    BrittleService { service: &'a str, max_refusals_per_s: Option<u32> },
     /// An instance of a plain service has become slower or faster than the others, or no longer is.
     UpstreamSpeed { upstream: &'a str, before: &'a str, class: &'a str, mean_work_ms: u64 },
     /// A new version of an adapter was announced.
@@ -173,6 +176,9 @@
         took_ms: u64,
         status: u16,
         outcome: &'a str,
+        /// Who chose the upstream, and requests there that this host chose itself, this one included.
+        chosen_by: &'static str,
+        own_requests: u32,
         /// Ages in milliseconds of the records by which the upstream was chosen.
         #[serde(serialize_with = "as_text")]
         record_ages: RecordAges,
--- a/crates/tarragon_node/src/hedges.rs
+++ b/crates/tarragon_node/src/hedges.rs
@@ -13,7 +13,7 @@
 use rail_hedge::{
     AnswerTimes, AttemptEnd, HedgeBudget, HedgeInputs, NoHedge, Race, RaceStep, Racer, may_hedge,
 };
-use rail_route::{RouteKind, ServiceId, Upstream, UpstreamId};
+use rail_route::{ChosenBy, RouteKind, ServiceId, Upstream, UpstreamId};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -74,7 +74,7 @@
 ) -> HedgedRun {
     let Some(slow_after) = slow_after(node, request, first.earlier_attempts) else {
         let FirstAttempt { upstream, run, admission, .. } = first;
-        let options = AttemptOptions { admission, version: None, resume_after: None };
+        let options = plain_options(admission, run.as_ref());
         let sent_at = Instant::now();
         let result = Box::pin(service_runs::send(node, request, upstream, run, options)).await;
         return finish(node, request, sent_at, Arc::clone(upstream), result, None);
@@ -91,7 +91,7 @@
     usable: impl Fn() -> Vec<Arc<Upstream>>,
 ) -> HedgedRun {
     let FirstAttempt { upstream, run, admission, earlier_attempts } = first;
-    let options = AttemptOptions { admission, version: None, resume_after: None };
+    let options = plain_options(admission, run.as_ref());
     let attempts_before = request.attempts.get();
     let first_send = service_runs::send(node, request, upstream, run, options);
     let sent_at = Instant::now();
@@ -114,7 +114,7 @@
         is_sent.set(true);
         // Only requests that are not suspected of crashes get here.
         let admission = Admission::default();
-        let options = AttemptOptions { admission: &admission, version: None, resume_after: None };
+        let options = plain_options(&admission, run.as_ref());
         let result = service_runs::send(node, request, &second, run, options).await;
         Some((second, result))
     };
@@ -157,6 +157,12 @@
     }
 }
 
+/// Returns the options of an attempt on an instance that a dispatcher has chosen if it has a run.
+fn plain_options<'a>(admission: &'a Admission, run: Option<&InstanceRun>) -> AttemptOptions<'a> {
+    let chosen_by = if run.is_some() { ChosenBy::Dispatcher } else { ChosenBy::Host };
+    AttemptOptions { admission, chosen_by, version: None, resume_after: None }
+}
+
 /// An attempt that ended, with its instance.
 type Ended = (Arc<Upstream>, ServiceRun);
 
--- a/crates/tarragon_node/src/main.rs
+++ b/crates/tarragon_node/src/main.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod attribution;
 mod bad_records;
+mod brittle_services;
 mod caller_connection;
 mod caller_requests;
 mod connection_flow;
--- a/crates/tarragon_node/src/metrics.rs
+++ b/crates/tarragon_node/src/metrics.rs
@@ -38,6 +38,8 @@
     pub grants: ReasonCounters,
     /// Permits for requests to upstreams that name a limit, by decision.
     pub send_permits: ReasonCounters,
+    /// Requests that upstreams turned away with 503, by who had chosen them.
+    pub upstream_refusals: ReasonCounters,
     /// Requests to plain services that one host dispatches.
     pub dispatch: DispatchMetrics,
     /// Quotas of workspaces.
@@ -160,6 +162,10 @@
                 "grants",
                 "Grants for requests to engines, by the wait that the request accepted there",
             ),
+            upstream_refusals: registry.reason_counters(
+                "upstream_refusals",
+                "Requests that upstreams turned away with 503, by who had chosen them",
+            ),
             send_permits: registry.reason_counters(
                 "send_permits",
                 "Permits for requests to upstreams that name a limit, by decision",
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -10,6 +10,7 @@
 use rail_dispatch::UpstreamLoads;
 use rail_hedge::HedgeShare;
 use rail_lease::{ReturnGuard, host_lease::HostLease};
+use rail_limit::BrittleServices;
 use rail_member::{
     Confirmations, HostView, RecordAges, RecordBounds, RecordKind, RunningTime,
     refresh::RefreshBudget,
@@ -145,6 +146,8 @@
     pub dispatch_pauses: DispatchPauses,
     /// Limits that upstreams name, and permits for requests to them.
     pub send_permits: SendPermits,
+    /// Services whose upstreams fall over when they turn many requests away.
+    pub brittle_services: RefCell<BrittleServices>,
     /// Software versions at which streams began.
     pub stream_origins: StreamOrigins,
     /// Quotas of workspaces.
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     bad_records::BadRecords,
+    brittle_services,
     caller_requests, detour,
     dispatch::{self, Dispatch},
     dispatch_calls::DispatchPauses,
@@ -161,6 +162,7 @@
         dispatch: Dispatch::default(),
         dispatch_pauses: DispatchPauses::default(),
         send_permits: SendPermits::default(),
+        brittle_services: RefCell::default(),
         stream_origins: StreamOrigins::default(),
         quotas,
         quarantine: Quarantine::default(),
@@ -219,6 +221,7 @@
         let now_ms = quarantine_news::now_ms(&node);
         node.quarantine.table.borrow_mut().prune(now_ms);
         send_permits::prune(&node);
+        brittle_services::prune(&node);
         dispatch::prune(&node);
         node.hedges.prune(&node);
         stream_origins::prune(&node);
