--- a/crates/rail_place/tests/engine_room.rs
+++ b/crates/rail_place/tests/engine_room.rs
@@ -412,6 +412,15 @@
     check_room(Faults { late_share: 0.4, restart_interval, ..Faults::default() });
 }
 
+/// Guards against an unload that waits for runs of callers that have left, while a load from before a
+/// restart is carried out.
+#[test]
+fn late_loads_beside_abandoned_runs_overfill_a_restarted_engine() {
+    let restart_interval = Some(ms(3_000));
+    let (late_share, leaving_share) = (0.1, 0.3);
+    check_room(Faults { late_share, leaving_share, restart_interval, ..Faults::default() });
+}
+
 /// Guards against loads of an earlier owner that meet their count again after a restart.
 #[test]
 fn late_loads_of_an_earlier_owner_from_before_a_restart_never_overfill_the_engine() {
--- a/crates/rail_place/tests/late_copies.rs
+++ b/crates/rail_place/tests/late_copies.rs
@@ -45,8 +45,8 @@
     owner.apply_report(&report, now, now + ms(1));
 }
 
-fn request(owner: &mut EngineOwner, id: u64, adapter: &str, now: Duration) {
-    let request = StartRequest {
+fn start_request(id: u64, adapter: &str, now: Duration) -> StartRequest {
+    StartRequest {
         id,
         model: MODEL.to_owned(),
         adapter: Some(adapter.to_owned()),
@@ -59,8 +59,11 @@
         late_at: Duration::MAX,
         may_be_late: true,
         max_backlog: ms(10_000),
-    };
-    owner.request_start(request, now).expect("it can start in time");
+    }
+}
+
+fn request(owner: &mut EngineOwner, id: u64, adapter: &str, now: Duration) {
+    owner.request_start(start_request(id, adapter, now), now).expect("it can start in time");
 }
 
 /// Sends an order that gets no answer, and again under its count, which is answered.
@@ -151,3 +154,25 @@
     let now = serve(&mut owner, 2, "a", 0, ms(40_100));
     serve(&mut owner, 3, "b", 1, now);
 }
+
+/// Guards against an adapter that counts as idle while a request runs, since requests of an earlier
+/// start of the engine were counted off its use when they ended.
+#[test]
+fn requests_from_before_a_restart_end_the_use_of_an_adapter_after_it() {
+    let mut owner = owner(&["a", "b"]);
+    request(&mut owner, 1, "a", ms(500));
+    assert_eq!(owner.poll(ms(500), true), [OwnerCommand::Grant(1, None)]);
+    restart(&mut owner, ms(1_500));
+    request(&mut owner, 2, "a", ms(1_600));
+    assert_eq!(owner.poll(ms(1_600), true), [order(load("a"), 0)]);
+    owner.finish_order(OrderResult::Accepted, ms(1_600));
+    assert_eq!(owner.poll(ms(2_000), true), [OwnerCommand::Grant(2, None)]);
+    // Its host learns late that the engine has ended.
+    owner.release(1, GrantOutcome::Ended, None, ms(2_010));
+    request(&mut owner, 3, "b", ms(2_020));
+    assert_eq!(owner.poll(ms(2_020), true), [order(load("b"), 1)]);
+    owner.finish_order(OrderResult::Accepted, ms(2_020));
+    assert_eq!(owner.poll(ms(2_500), true), [OwnerCommand::Grant(3, None)]);
+    let refused = owner.request_start(start_request(4, "c", ms(8_000)), ms(8_000));
+    assert_eq!(owner.poll(ms(8_000), true), [], "no adapter is idle ({refused:?})");
+}
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -2,8 +2,7 @@
 
 use crate::{
     bad_records::BadRecords,
-    brittle_services,
-    caller_requests, detour,
+    brittle_services, caller_requests, detour,
     dispatch::{self, Dispatch},
     dispatch_calls::DispatchPauses,
     drained_upstreams::DrainedUpstreams,
