Requests from before an engine's restart don't end the use of its adapters after it

Cause: granted requests stayed counted by adapter across a restart, while the counts of use began anew. A host that learned of the end later released its request, which was counted off the use of the adapter as loaded again, so one in use counted as idle: it was unloaded, its unload waited for the run, and a late load took the place that was reckoned with. Now granted requests lose their adapter at the restart and keep only their slot.

--- a/crates/rail_place/src/owner/mod.rs
+++ b/crates/rail_place/src/owner/mod.rs
@@ -348,6 +348,10 @@
         self.models.clear();
         self.loading_model = None;
         self.adapters.clear();
+        // Their runs ended with the engine, so they use no adapter that is loaded again.
+        for adapter in self.granted.values_mut() {
+            *adapter = None;
+        }
         self.orders.clear();
         self.accepted_orders = None;
         self.consecutive_conflicts = 0;
