An unload frees no place while an abandoned run may hold it

Cause: the end of a grant did not tell a run that had ended from one that was abandoned. Now a host reports the end only with a whole answer, in a bit that earlier builds ignore; without it the run counts as abandoned, and for 2 s its adapter's place as held where late copies of orders are reckoned with.

--- a/crates/rail_peer/src/message.rs
+++ b/crates/rail_peer/src/message.rs
@@ -353,17 +353,21 @@
 }
 
 impl GrantRelease {
-    /// Bits of the outcome, the lowest ones.
+    /// Bits of the outcome, the lowest ones. They are zero for a call that is dropped without a code,
+    /// and earlier builds send nothing else of a request that has run.
     const OUTCOME_BITS: u32 = 2;
     /// Bits of the time until the first event in milliseconds plus one; 0 without a stream.
     const FIRST_EVENT_BITS: u32 = 16;
     /// Bits of the mean time between two events in milliseconds plus one; 0 without one.
     const INTERVAL_BITS: u32 = 12;
+    /// Bit that tells the end of a run from an abandoned one, which earlier builds ignore.
+    const ENDED_BIT: u32 = 1 << 30;
 
     /// Returns the code that reports this end. Times beyond its bits are reported as the longest one.
     pub fn code(self) -> u32 {
         let outcome = match self.outcome {
-            GrantOutcome::Ended => 0,
+            GrantOutcome::Ended => Self::ENDED_BIT,
+            GrantOutcome::Abandoned => 0,
             GrantOutcome::NotReady => 1,
             GrantOutcome::Absent => 2,
         };
@@ -377,6 +381,7 @@
     /// Decodes the code of a dropped call. An unknown outcome is the end of the request.
     pub fn from_code(code: u64) -> Self {
         let outcome = match code & ((1 << Self::OUTCOME_BITS) - 1) {
+            0 if code & u64::from(Self::ENDED_BIT) == 0 => GrantOutcome::Abandoned,
             1 => GrantOutcome::NotReady,
             2 => GrantOutcome::Absent,
             _ => GrantOutcome::Ended,
--- a/crates/rail_peer/tests/grant_release.rs
+++ b/crates/rail_peer/tests/grant_release.rs
@@ -17,7 +17,13 @@
         Some(StreamTiming { first_event: ms(1_234), event_interval: Some(ms(28)) }),
         Some(StreamTiming { first_event: ms(60_000), event_interval: Some(ms(4_000)) }),
     ];
-    for outcome in [GrantOutcome::Ended, GrantOutcome::NotReady, GrantOutcome::Absent] {
+    let outcomes = [
+        GrantOutcome::Ended,
+        GrantOutcome::Abandoned,
+        GrantOutcome::NotReady,
+        GrantOutcome::Absent,
+    ];
+    for outcome in outcomes {
         for timing in timings {
             let release = GrantRelease { outcome, timing };
             assert_eq!(GrantRelease::from_code(release.code().into()), release);
@@ -35,3 +41,9 @@
     assert!(shortened.event_interval > Some(ms(4_000)), "{shortened:?}");
     assert_eq!(GrantRelease::from_code(u64::MAX).outcome, GrantOutcome::Ended);
 }
+
+/// A caller that leaves drops its call, and earlier builds report every run without the bit.
+#[test]
+fn a_run_without_a_reported_end_counts_as_abandoned() {
+    assert_eq!(GrantRelease::from_code(0).outcome, GrantOutcome::Abandoned);
+}
--- a/crates/rail_place/src/owner/adapter.rs
+++ b/crates/rail_place/src/owner/adapter.rs
@@ -5,6 +5,8 @@
 
 /// Time in which a request loses half its weight in the demand for an adapter.
 const DEMAND_HALF_LIFE_S: f64 = 10.0;
+/// Time for which an engine may go on with a run whose caller has left.
+const ABANDONED_RUN_TIME: Duration = Duration::from_secs(2);
 /// Consecutive requests that may find an adapter not ready before its load counts as lost.
 const MAX_NOT_READY: u32 = 12;
 
@@ -50,6 +52,8 @@
     pub(super) occupancy: Occupancy,
     /// Granted requests that have not ended.
     pub(super) in_use: u32,
+    /// Time until which the engine may go on with runs that were abandoned.
+    pub(super) abandoned_until: Duration,
     /// Decayed number of requests as of `used_at`.
     pub(super) demand: f64,
     pub(super) used_at: Duration,
@@ -78,6 +82,16 @@
         self.in_use == 0 && is_loaded
     }
 
+    /// Records that a run was abandoned, with which the engine may go on for some time.
+    pub(super) fn record_abandoned_run(&mut self, now: Duration) {
+        self.abandoned_until = now + ABANDONED_RUN_TIME;
+    }
+
+    /// Reports whether an unload may have to wait for a run.
+    pub(super) fn may_be_held(&self, now: Duration) -> bool {
+        self.in_use > 0 || now < self.abandoned_until
+    }
+
     /// Reports whether its load may still be in progress, longer than expected.
     pub(super) fn may_still_load(&self) -> bool {
         self.not_ready_count < MAX_NOT_READY && !matches!(self.state, LoadState::Resident)
--- a/crates/rail_place/src/owner/message.rs
+++ b/crates/rail_place/src/owner/message.rs
@@ -66,8 +66,10 @@
 /// Result of a granted request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum GrantOutcome {
-    /// The request ran, or its caller disconnected.
+    /// The request ran, and its answer has arrived whole.
     Ended,
+    /// The caller disconnected, or no whole answer arrived, so the engine may go on with the run.
+    Abandoned,
     /// The engine answered that the adapter was not ready.
     NotReady,
     /// The engine answered that it does not have the adapter.
--- a/crates/rail_place/src/owner/mod.rs
+++ b/crates/rail_place/src/owner/mod.rs
@@ -237,12 +237,14 @@
     ) {
         self.waiting.remove(&id);
         self.pacer.end(id, timing);
-        self.slot_times.end(id, outcome == GrantOutcome::Ended, now);
+        let has_run = matches!(outcome, GrantOutcome::Ended | GrantOutcome::Abandoned);
+        self.slot_times.end(id, has_run, now);
         let Some(Some(path)) = self.granted.remove(&id) else { return };
         let Some(entry) = self.adapters.get_mut(&path) else { return };
         entry.in_use = entry.in_use.saturating_sub(1);
         match outcome {
             GrantOutcome::Ended => {}
+            GrantOutcome::Abandoned => entry.record_abandoned_run(now),
             // An engine also answers that an adapter is absent while it is still being loaded.
             GrantOutcome::Absent if !entry.may_still_load() => {
                 self.adapters.remove(&path);
@@ -312,6 +314,7 @@
                 version: Some(*version),
                 occupancy: Occupancy::Proven,
                 in_use: 0,
+                abandoned_until: Duration::ZERO,
                 demand: 0.0,
                 used_at: now,
             });
@@ -448,6 +451,7 @@
             version,
             occupancy: Occupancy::None,
             in_use: 0,
+            abandoned_until: Duration::ZERO,
             demand: 1.0,
             used_at: now,
         };
--- a/crates/rail_place/src/owner/orders.rs
+++ b/crates/rail_place/src/owner/orders.rs
@@ -154,9 +154,11 @@
         let has_place =
             |path: &str| self.adapters.get(path).is_some_and(AdapterEntry::occupies_slot);
         let is_idle = |path: &str| {
-            used != Some(path) && self.adapters.get(path).is_some_and(|entry| entry.is_idle(now))
+            let is_idle = |entry: &AdapterEntry| entry.is_idle(now) && !entry.may_be_held(now);
+            used != Some(path) && self.adapters.get(path).is_some_and(is_idle)
         };
-        let is_unused = |path: &str| self.adapters.get(path).is_some_and(|entry| entry.in_use == 0);
+        let is_unused =
+            |path: &str| self.adapters.get(path).is_some_and(|entry| !entry.may_be_held(now));
         let (loaded, unloaded) = match order {
             Some(OrderKind::Load(path, _)) => (Some(path.as_str()), None),
             Some(OrderKind::Unload(path)) if is_unused(path) => (None, Some(path.as_str())),
--- a/crates/rail_place/tests/engine_room.rs
+++ b/crates/rail_place/tests/engine_room.rs
@@ -303,7 +303,7 @@
                 let (at, outcome) = if !has_started {
                     (now + ms(5), GrantOutcome::Absent)
                 } else if self.random.random_bool(self.faults.leaving_share) {
-                    (now + ms(5), GrantOutcome::Ended)
+                    (now + ms(5), GrantOutcome::Abandoned)
                 } else {
                     (end, GrantOutcome::Ended)
                 };
--- a/crates/tarragon_node/src/engines.rs
+++ b/crates/tarragon_node/src/engines.rs
@@ -98,7 +98,7 @@
     }
 
     /// Releases the grant and tells the owner how the request ended. Dropping it instead says that
-    /// the request ended and nothing of its answer.
+    /// the request was abandoned.
     pub fn release(mut self, release: GrantRelease) {
         self.release = release;
     }
@@ -168,7 +168,7 @@
         Some(Ok(LocalGrant {
             driver,
             id,
-            release: GrantRelease { outcome: GrantOutcome::Ended, timing: None },
+            release: GrantRelease { outcome: GrantOutcome::Abandoned, timing: None },
             clock: node.clock,
             decision,
         }))
--- a/crates/tarragon_node/src/relay.rs
+++ b/crates/tarragon_node/src/relay.rs
@@ -67,6 +67,8 @@
     version: Option<u64>,
     /// Released when the response ends or another engine takes over.
     grant: Option<Grant>,
+    /// How the run under the grant has ended, as far as its answer shows.
+    grant_outcome: GrantOutcome,
     /// Permission to run at the current engine.
     admission: Admission,
     in_flight: InFlight,
@@ -94,7 +96,7 @@
     fn release_grant(&mut self) {
         let timing = self.times.take_engine_timing();
         if let Some(grant) = self.grant.take() {
-            grant.release(GrantOutcome::Ended, timing);
+            grant.release(self.grant_outcome, timing);
         }
     }
 
@@ -202,6 +204,9 @@
 
     /// Records a whole response and returns the bytes after its last event.
     fn finish(&mut self, upstream_response: UpstreamResponse, completeness: Completeness) -> Bytes {
+        if completeness == Completeness::Whole {
+            self.grant_outcome = GrantOutcome::Ended;
+        }
         let status = upstream_response.head.status;
         attempt::record_answer(&self.node, &self.upstream, status);
         if status.is_success() && completeness == Completeness::Whole {
@@ -310,6 +315,7 @@
         times: StreamTimes::default(),
         version,
         grant: Some(grant),
+        grant_outcome: GrantOutcome::Abandoned,
         admission,
         in_flight,
     };
