One host counts the requests of all at instances that can't turn many away

Cause: each host chose instances by what it alone had seen, and read Server-Brittle from refusals only. Evidence: before each fall five refusals of three to five hosts within 0.4 s, and again within 10 ms of the server's return, which is the least loaded for all hosts at once. All refused requests were chosen by single hosts. Now any answer of one upstream makes its service brittle here, and requests for it go through the dispatcher, which starts no more runs than an instance has slots, counts runs that nobody waits for any more, and lets an instance that refused pause for all. A dispatcher that may not know all runs (it has just begun, stood still, stands in, or hears only a part of the hosts) uses a part of the slots. Without a dispatcher a host keeps to its part of the slots, one request at least.

--- a/crates/rail_dispatch/src/dispatcher.rs
+++ b/crates/rail_dispatch/src/dispatcher.rs
@@ -3,6 +3,7 @@
 use crate::{
     instance::{Instance, InstanceStatus, SpeedChange},
     queue::WaitQueue,
+    room::RoomRule,
     run_end::RunEnd,
 };
 use rail_route::{Upstream, UpstreamId};
@@ -83,6 +84,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Dispatcher {
     instances: BTreeMap<UpstreamId, Instance>,
+    room_rule: RoomRule,
     runs: HashMap<RunId, Run>,
     waiting: WaitQueue,
     last_id: RunId,
@@ -102,6 +104,11 @@
         self.instances.retain(|_, instance| instance.is_ready || instance.in_flight > 0);
     }
 
+    /// Sets how many runs may start on one instance from now on.
+    pub fn set_room_rule(&mut self, rule: RoomRule) {
+        self.room_rule = rule;
+    }
+
     /// Queues a request, or refuses it if it can't start in time.
     pub fn request(&mut self, request: RunRequest, now: Duration) -> Arrival {
         let is_allowed = |(id, instance): (&UpstreamId, &Instance)| {
@@ -163,7 +170,7 @@
             }
             Some(Run::Started(instance)) => {
                 if let Some(instance) = self.instances.get_mut(&instance) {
-                    instance.record_end(end, now);
+                    instance.record_end(end, self.room_rule, now);
                 }
             }
             None => {}
@@ -228,7 +235,7 @@
             if !instance.is_usable(now) || request.excluded.contains(id) {
                 continue;
             }
-            let cost = instance.cost(time_left_ms, now);
+            let cost = instance.cost(time_left_ms, self.room_rule, now);
             let is_other_zone = instance.zone != request.zone;
             let zone_cost_ms = if is_other_zone { time_left_ms * OTHER_ZONE_SHARE } else { 0.0 };
             let finish_ms = cost.finish_ms + zone_cost_ms;
@@ -259,7 +266,7 @@
     fn runs_per_ms(&self, now: Duration) -> f64 {
         let ready = self.instances.values().filter(|instance| instance.is_ready);
         let rates = ready.map(|instance| f64::from(instance.slots) / instance.work_ms(now));
-        rates.sum::<f64>().max(0.001)
+        (rates.sum::<f64>() * self.room_rule.share()).max(0.001)
     }
 
     fn quickest_work(&self, now: Duration) -> Duration {
--- a/crates/rail_dispatch/src/instance.rs
+++ b/crates/rail_dispatch/src/instance.rs
@@ -1,11 +1,12 @@
 //! An instance of a service, as its dispatcher knows it.
 
 use crate::{
+    room::RoomRule,
     run_end::{RunEnd, RunOutcome},
     work_time::{SpeedClass, WorkTime, decay},
 };
 use rail_route::{Upstream, UpstreamId};
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 /// Work time of an instance before the first run.
 const DEFAULT_WORK_MS: f64 = 20.0;
@@ -21,10 +22,10 @@
 const MAX_IN_TRANSIT_SHARE: f64 = 0.25;
 /// Weight of one run in the failure rate.
 const FAILURE_WEIGHT: f64 = 0.05;
-/// Time for which an instance that had no room gets no request.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(50);
 /// Time without a run after which an idle instance gets one, since its speed may have changed.
 const MAX_WORK_TIME_AGE: Duration = Duration::from_secs(1);
+/// Time for which an instance may go on with a run that nobody waits for.
+const ABANDONED_RUN_TIME: Duration = Duration::from_millis(250);
 /// Part of its work time by which a run is expected to take longer on a full instance.
 const CROWDING: f64 = 0.3;
 
@@ -81,6 +82,8 @@
     pub(crate) is_ready: bool,
     /// Runs in progress that this dispatcher has started.
     pub(crate) in_flight: u32,
+    /// Times until which runs may go on that nobody waits for.
+    abandoned_until: VecDeque<Duration>,
     /// Difference between reported and known requests, and the time of the last report. It is
     /// positive where others send requests, and negative for runs whose messages are on their way.
     report_gap: (f64, Duration),
@@ -120,25 +123,45 @@
         self.work_time.mean_ms()
     }
 
+    /// Returns the most requests that can be on the instance, as far as they are known.
+    fn most_requests(&self, now: Duration) -> f64 {
+        let abandoned = self.abandoned_until.iter().filter(|until| now < **until).count();
+        self.requests(now).max(f64::from(self.in_flight)) + abandoned as f64
+    }
+
+    /// Returns whether a further run may start.
+    fn has_room(&self, rule: RoomRule, now: Duration) -> bool {
+        let slots = f64::from(self.slots);
+        match rule {
+            RoomRule::Surplus => {
+                let surplus = (slots * SURPLUS_SHARE).ceil();
+                self.requests(now) + 1.0 <= slots + surplus
+            }
+            RoomRule::Certain { share, .. } => {
+                // A fraction of a request is left of reports that fade.
+                self.most_requests(now).floor() + 1.0 <= (slots * share).round().max(1.0)
+            }
+        }
+    }
+
     /// Returns what a further run would mean whose failure costs its caller `failure_ms`.
-    pub(crate) fn cost(&self, failure_ms: f64, now: Duration) -> RunCost {
+    pub(crate) fn cost(&self, failure_ms: f64, rule: RoomRule, now: Duration) -> RunCost {
         let slots = f64::from(self.slots);
         let requests = self.requests(now);
         let work_ms = self.work_ms(now);
         let crowding = CROWDING * (requests / slots).min(1.0);
         let wait_ms = work_ms * (requests + 1.0 - slots).max(0.0) / slots;
-        let surplus = (slots * SURPLUS_SHARE).ceil();
         let is_old = self.work_time.age(now).is_some_and(|age| age > MAX_WORK_TIME_AGE);
         RunCost {
             work_ms,
             wait_ms,
             finish_ms: work_ms * (1.0 + crowding) + wait_ms + self.failure_rate * failure_ms,
-            has_room: requests + 1.0 <= slots + surplus,
+            has_room: self.has_room(rule, now),
             is_speed_outdated: is_old && self.in_flight == 0,
         }
     }
 
-    pub(crate) fn record_end(&mut self, end: RunEnd, now: Duration) {
+    pub(crate) fn record_end(&mut self, end: RunEnd, rule: RoomRule, now: Duration) {
         if let Some(report) = end.report {
             if let Some(pace) = report.pace {
                 self.work_time.record_pace(pace, now);
@@ -152,11 +175,15 @@
         }
         let requests = self.requests(now);
         self.in_flight = self.in_flight.saturating_sub(1);
+        if matches!(end.outcome, RunOutcome::Failed | RunOutcome::Unknown) {
+            self.abandoned_until.retain(|until| now < *until);
+            self.abandoned_until.push_back(now + ABANDONED_RUN_TIME);
+        }
         let is_failed = match end.outcome {
             RunOutcome::Answered => false,
             RunOutcome::Failed => true,
             RunOutcome::Refused => {
-                self.paused_until = now + REFUSAL_PAUSE;
+                self.paused_until = now + rule.refusal_pause();
                 return;
             }
             RunOutcome::Unknown => return,
@@ -173,7 +200,7 @@
             id: id.to_owned(),
             work_ms: self.work_ms(now),
             pace_factor: self.work_time.factor(now),
-            wait_ms: self.cost(0.0, now).wait_ms,
+            wait_ms: self.cost(0.0, RoomRule::default(), now).wait_ms,
             requests: self.requests(now),
             class: self.class,
         }
--- a/crates/rail_dispatch/tests/dispatcher.rs
+++ b/crates/rail_dispatch/tests/dispatcher.rs
@@ -59,7 +59,12 @@
 }
 
 fn answered(took_ms: u64, report: Option<LoadReport>) -> RunEnd {
-    RunEnd { outcome: RunOutcome::Answered, report, took: Some(ms(took_ms)) }
+    RunEnd {
+        outcome: RunOutcome::Answered,
+        report,
+        took: Some(ms(took_ms)),
+        max_refusals_per_s: None,
+    }
 }
 
 #[test]
@@ -134,7 +139,7 @@
     let mut dispatcher = dispatcher(&["a"]);
     let id = queue(&mut dispatcher, request(ms(150)), ms(0));
     start_all(&mut dispatcher, ms(0));
-    let refused = RunEnd { outcome: RunOutcome::Refused, report: None, took: None };
+    let refused = RunEnd { outcome: RunOutcome::Refused, ..RunEnd::UNKNOWN };
     dispatcher.end(id, refused, ms(1));
     queue(&mut dispatcher, request(ms(150)), ms(1));
     assert!(start_all(&mut dispatcher, ms(1)).is_empty());
@@ -211,18 +216,28 @@
 }
 
 quickcheck! {
-    fn the_end_of_a_run_is_reported_as_it_was(requests: u16, percent: u16, took_ms: u16) -> bool {
+    fn the_end_of_a_run_is_reported_as_it_was(
+        requests: u16,
+        percent: u16,
+        took_ms: u16,
+        refusals: Option<u8>
+    ) -> bool {
         let report = LoadReport {
             requests: u32::from(requests % 500),
             pace: Pace::from_percent(u64::from(percent)),
         };
         let took = Some(ms(u64::from(took_ms % 2000)));
-        let end = RunEnd { outcome: RunOutcome::Failed, report: Some(report), took };
-        RunEnd::from_code(end.code().into()) == end
+        let end = RunEnd {
+            outcome: RunOutcome::Failed,
+            report: Some(report),
+            took,
+            max_refusals_per_s: refusals.map(|refusals| u32::from(refusals % 250)),
+        };
+        RunEnd::from_code(end.code()) == end
     }
 
     fn any_code_is_an_end(code: u64) -> bool {
         let end = RunEnd::from_code(code);
-        RunEnd::from_code(end.code().into()) == end
+        RunEnd::from_code(end.code()) == end
     }
 }
--- a/crates/rail_dispatch/tests/replay/mod.rs
+++ b/crates/rail_dispatch/tests/replay/mod.rs
@@ -359,7 +359,7 @@
     fn turn_away(&mut self, request: usize, index: usize) {
         self.requests[request].guard = None;
         if let Some(id) = self.requests[request].run {
-            let end = RunEnd { outcome: RunOutcome::Refused, report: None, took: None };
+            let end = RunEnd { outcome: RunOutcome::Refused, ..RunEnd::UNKNOWN };
             self.dispatcher.end(id, end, self.now());
         } else if self.requests[request].tried.is_empty() {
             self.requests[request].tried.push(format!("i{index}"));
@@ -417,8 +417,13 @@
         let way_us = way_us(host, 0);
         let took = Duration::from_micros(self.now_us - way_us - sent_us);
         let report = Some(self.report(request));
-        let end = RunEnd { outcome: RunOutcome::Answered, report, took: Some(took) };
-        self.dispatcher.end(id, RunEnd::from_code(end.code().into()), self.now());
+        let end = RunEnd {
+            outcome: RunOutcome::Answered,
+            report,
+            took: Some(took),
+            max_refusals_per_s: None,
+        };
+        self.dispatcher.end(id, RunEnd::from_code(end.code()), self.now());
         self.start_dispatched();
     }
 
--- a/crates/rail_peer/src/client.rs
+++ b/crates/rail_peer/src/client.rs
@@ -7,7 +7,7 @@
     message::{PeerReply, PeerRequest},
     server::transport_config,
 };
-use quinn::{ClientConfig, Connection, Endpoint, crypto::rustls::QuicClientConfig};
+use quinn::{ClientConfig, Connection, Endpoint, VarInt, crypto::rustls::QuicClientConfig};
 use rail_runtime::{Keys, LiveKeys, Metrics, keys::FLEET_SERVER_NAME};
 use std::{
     collections::HashMap,
@@ -46,10 +46,12 @@
         frame::read(&mut self.reader).await
     }
 
-    /// Cancels the call with this code, which the peer reads by `ReplySender::stop_code`.
-    pub fn stop(mut self, code: u32) {
+    /// Cancels the call with this code of 62 bits at most, which the peer reads by
+    /// `ReplySender::stop_code`.
+    pub fn stop(mut self, code: u64) {
+        let code = VarInt::from_u64(code).unwrap_or(VarInt::MAX);
         // Fails only if the peer has already finished the call.
-        let _finished = self.reader.get_mut().stop(code.into());
+        let _finished = self.reader.get_mut().stop(code);
     }
 }
 
--- a/crates/tarragon_node/src/attempt.rs
+++ b/crates/tarragon_node/src/attempt.rs
@@ -267,7 +267,8 @@
         let status = response.head.status;
         if status == StatusCode::SERVICE_UNAVAILABLE {
             node.metrics.upstream_refusals.count(options.chosen_by.name());
-            send_permits::record_refusal(node, upstream, response_headers.refusal);
+            let refusal = response_headers.refusal;
+            send_permits::record_refusal(node, upstream, refusal, options.chosen_by);
         }
         discard_refusal_body(response);
         return Attempt::NotRun(status);
--- a/crates/tarragon_node/src/dispatch.rs
+++ b/crates/tarragon_node/src/dispatch.rs
@@ -2,10 +2,13 @@
 //! hosts.
 
 use crate::{
+    brittle_services, dispatch_calls,
     events::Event,
     node::{Node, SharedNode},
 };
-use rail_dispatch::{Arrival, Dispatcher, InstanceStatus, RunEnd, RunId, RunRequest};
+use rail_dispatch::{
+    Arrival, Dispatcher, InstanceStatus, RunEnd, RunId, RunKnowledge, RunOutcome, RunRequest,
+};
 use rail_peer::DispatchRequest;
 use rail_route::{ServiceId, UpstreamId};
 use std::{
@@ -32,6 +35,7 @@
 #[derive(Debug, Default)]
 struct DispatchedService {
     dispatcher: Dispatcher,
+    knowledge: RunKnowledge,
     waiting: HashMap<RunId, oneshot::Sender<UpstreamId>>,
     instances_read_at: Option<Duration>,
     /// Last time at which a waiting request checked for an instance.
@@ -83,10 +87,18 @@
 impl Drop for LocalRun {
     fn drop(&mut self) {
         let now = self.node.now();
+        let is_answered = matches!(self.end.outcome, RunOutcome::Answered | RunOutcome::Refused);
         self.node.dispatch.with_service(&self.service, |service| {
             service.waiting.remove(&self.id);
             service.dispatcher.end(self.id, self.end, now);
+            if is_answered {
+                service.knowledge.record_answer();
+            }
         });
+        if is_answered {
+            let max_refusals_per_s = self.end.max_refusals_per_s;
+            brittle_services::record_answer(&self.node, &self.service, max_refusals_per_s);
+        }
         self.node.dispatch.start_waiting(&self.node, &self.service);
     }
 }
@@ -105,6 +117,7 @@
         let now = node.now();
         self.with_service(service, |dispatched| {
             dispatched.read_instances(node, service, now);
+            dispatched.update_room(node, service, now);
             while let Some(start) = dispatched.dispatcher.next_start(now) {
                 let waiting = dispatched.waiting.remove(&start.id);
                 if waiting.is_none_or(|waiting| waiting.send(start.instance).is_err()) {
@@ -153,6 +166,14 @@
             self.dispatcher.set_ready(node.upstreams.borrow().ready(service));
         }
     }
+
+    /// Updates how far the instances are filled.
+    fn update_room(&mut self, node: &Node, service: &str, now: Duration) {
+        let max_refusals_per_s = node.brittle_services.borrow().max_refusals_per_s(service);
+        let standing = || dispatch_calls::standing(node, service);
+        let rule = self.knowledge.room_rule(max_refusals_per_s, standing, now);
+        self.dispatcher.set_room_rule(rule);
+    }
 }
 
 /// Decides on the request of any host as the dispatcher of its service. Returns `None` if this host
@@ -173,6 +194,8 @@
     let (sender, decision) = oneshot::channel();
     let arrival = node.dispatch.with_service(&call.service, |service| {
         service.read_instances(node, &call.service, now);
+        service.knowledge.record_request(now);
+        service.update_room(node, &call.service, now);
         service.used_at = now;
         let arrival = service.dispatcher.request(request, now);
         if let Arrival::Queued(id) = arrival {
--- a/crates/tarragon_node/src/dispatch_calls.rs
+++ b/crates/tarragon_node/src/dispatch_calls.rs
@@ -1,8 +1,8 @@
 //! Calls between hosts for the instances of plain services.
 //!
-//! A host calls the dispatcher of a service before each send, if an instance has reported its pace:
-//! where work takes as long as usual everywhere, each host chooses well enough by itself. It
-//! chooses by itself too if no dispatcher replies.
+//! A host calls the dispatcher of a service before each send, if an instance has reported its pace or
+//! can't turn many requests away: elsewhere each host chooses well enough by itself. It chooses by
+//! itself too if no dispatcher replies.
 
 use crate::{
     dispatch::{self, LocalRun},
@@ -10,7 +10,7 @@
     peer_calls::wait_for_holder_loss,
     request::CallerRequest,
 };
-use rail_dispatch::{RunEnd, RunOutcome, rank_dispatchers};
+use rail_dispatch::{DispatcherStanding, RunEnd, RunOutcome, rank_dispatchers};
 use rail_peer::{
     DispatchReply, DispatchRequest, Error, PeerReply, PeerRequest, ReplySender, ReplyStream,
 };
@@ -106,7 +106,10 @@
         // With two attempts the time since the last send is not that of this run.
         let is_timed = outcome == RunOutcome::Answered && request.possible_runs() <= 1;
         let took = is_timed.then(|| request.running_time());
-        let end = RunEnd { outcome, report, took };
+        let services = node.brittle_services.borrow();
+        let max_refusals_per_s = services.max_refusals_per_s(&request.service);
+        drop(services);
+        let end = RunEnd { outcome, report, took, max_refusals_per_s };
         match self {
             Self::Local(run) => run.release(end),
             Self::Remote(call) => call.stop(end.code()),
@@ -171,9 +174,13 @@
     Ok(None)
 }
 
-/// Returns whether a service is dispatched: an instance has reported its pace, and there are so few
-/// slots that the requests of all hosts meet at them.
+/// Returns whether a service is dispatched. It is if its instances can't turn many requests away, or
+/// if one has reported its pace and there are so few slots that the requests of all hosts meet at
+/// them.
 fn is_dispatched(node: &Node, service: &str) -> bool {
+    if node.brittle_services.borrow().max_refusals_per_s(service).is_some() {
+        return true;
+    }
     let upstreams = node.upstreams.borrow();
     let mut slots = 0;
     let mut is_uneven = false;
@@ -191,6 +198,14 @@
     rank_dispatchers(service, capacities).map(str::to_owned).collect()
 }
 
+/// Returns which part this host has in dispatching a service.
+pub fn standing(node: &Node, service: &str) -> DispatcherStanding {
+    let is_first = dispatchers(node, service).first() == Some(&node.settings.host);
+    let hosts = node.hosts.borrow();
+    let live_hosts = hosts.live(node.now()).count();
+    DispatcherStanding { is_first, live_hosts, known_hosts: hosts.len() }
+}
+
 fn dispatch_request(
     node: &Node,
     request: &CallerRequest,
--- a/crates/tarragon_node/src/hedges.rs
+++ b/crates/tarragon_node/src/hedges.rs
@@ -3,6 +3,7 @@
 use crate::{
     access,
     attempt::AttemptOptions,
+    brittle_services,
     dispatch_calls::{self, InstanceRun},
     lost_runs,
     node::{Node, SharedNode},
@@ -263,7 +264,10 @@
             Ok(Some((id, run))) => find(&id).map(|upstream| (upstream, Some(run))),
             Ok(None) => {
                 let load = |other: &Upstream| node.upstream_loads.estimate(&other.id);
-                let has_room = |other: &&Arc<Upstream>| load(other) < f64::from(other.slots);
+                let has_room = |other: &&Arc<Upstream>| {
+                    load(other) < f64::from(other.slots)
+                        && brittle_services::may_send_alone(node, other)
+                };
                 let idle = others.iter().filter(has_room);
                 let idle = idle.min_by(|a, b| load(a).total_cmp(&load(b)));
                 idle.map(|upstream| (Arc::clone(upstream), None))
--- a/crates/tarragon_node/src/peers.rs
+++ b/crates/tarragon_node/src/peers.rs
@@ -76,7 +76,7 @@
     /// Releases the grant and reports to the owner how the request ended.
     pub fn release(mut self, release: GrantRelease) {
         if let Some(call) = self.call.take() {
-            call.stop(release.code());
+            call.stop(release.code().into());
         }
     }
 }
--- a/crates/tarragon_node/src/send_permits.rs
+++ b/crates/tarragon_node/src/send_permits.rs
@@ -14,7 +14,7 @@
     Refusal, RequestRate, UpstreamPauses, rank_issuers,
 };
 use rail_peer::{LimitNews, PeerReply, PeerRequest, SendPermitReply, SendPermitRequest};
-use rail_route::Upstream;
+use rail_route::{ChosenBy, Upstream};
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::time::timeout;
 
@@ -119,7 +119,11 @@
 }
 
 /// Records that an upstream has turned a request away for want of room.
-pub fn record_refusal(node: &Node, upstream: &Upstream, refusal: Refusal) {
+pub fn record_refusal(node: &Node, upstream: &Upstream, mut refusal: Refusal, chosen_by: ChosenBy) {
+    if chosen_by == ChosenBy::Dispatcher {
+        // It lets the upstream pause for all hosts.
+        refusal.max_refusals_per_s = None;
+    }
     let (now, live_hosts) = (node.now(), node.hosts.borrow().live(node.now()).count());
     if let Some(pause) = refusal.pause(live_hosts) {
         node.metrics.send_permits.count("upstream_refused");
--- a/crates/tarragon_node/src/service_requests.rs
+++ b/crates/tarragon_node/src/service_requests.rs
@@ -1,7 +1,7 @@
 //! Requests to services without an engine: any ready instance may answer them.
 
 use crate::{
-    access, attempt, detour,
+    access, attempt, brittle_services, detour,
     dispatch_calls::{self, InstanceRun},
     engine_requests::StartedResponse,
     hedges::{self, FirstAttempt},
@@ -308,7 +308,14 @@
             let chosen = usable.into_iter().find(|upstream| upstream.id == id);
             chosen.map_or(Choice::NoUpstream, |upstream| Choice::Send(upstream, Some(run)))
         }
-        Ok(None) => choose_alone(node, &usable, &retry_state.tried_upstreams),
+        Ok(None) => {
+            let mut sendable = usable.clone();
+            sendable.retain(|upstream| brittle_services::may_send_alone(node, upstream));
+            if sendable.is_empty() && !usable.is_empty() {
+                return Choice::Refused(BUSY_RETRY_AFTER);
+            }
+            choose_alone(node, &sendable, &retry_state.tried_upstreams)
+        }
         Err(retry_after) => Choice::Refused(retry_after),
     }
 }
