Requests without a grant keep to the host's part of a brittle engine's slots

By reading, no test with processes: while the owner of an engine is gone, up to 17 s, all hosts send it requests for adapters that they presume resident, and nobody counts them. While the service says that it is brittle, a host now has no more of them there than its part of the slots, one at least. A request passed to another host has a kind of grant of its own, as it counts on no engine.

--- a/crates/tarragon_node/src/detour.rs
+++ b/crates/tarragon_node/src/detour.rs
@@ -157,7 +157,7 @@
     };
     StartedResponse {
         upstream: Arc::new(upstream),
-        grant: Grant::Assumed,
+        grant: Grant::OtherHost,
         admission: Admission::default(),
         version: None,
         upstream_response: Box::new(response),
--- a/crates/tarragon_node/src/engine_grants.rs
+++ b/crates/tarragon_node/src/engine_grants.rs
@@ -1,12 +1,14 @@
 //! Obtains grants to run on engines from their owners.
 
 use crate::{
+    brittle_services,
     engines::{GrantDecision, LocalGrant},
     node::SharedNode,
     peers::{GrantRefusal, RemoteGrant},
     quarantine::Admission,
     request::CallerRequest,
 };
+use rail_dispatch::LoadGuard;
 use rail_peer::{GrantRelease, GrantRequest};
 use rail_place::{GrantOutcome, GrantSearch, StreamTiming, WaitLimits, rank_engines};
 use rail_route::{AdapterVersion, ChosenBy, Upstream, UpstreamId};
@@ -32,7 +34,12 @@
     /// Granted by the engine's owner on another host.
     Remote(RemoteGrant),
     /// Not granted: no owner can be reached, and the adapter is presumed resident on the engine.
-    Assumed,
+    Assumed {
+        /// Counts the request on the engine.
+        _load: LoadGuard,
+    },
+    /// Another host serves the request.
+    OtherHost,
 }
 
 impl Grant {
@@ -40,7 +47,7 @@
     pub fn chosen_by(&self) -> ChosenBy {
         match self {
             Self::Local(_) | Self::Remote(_) => ChosenBy::Owner,
-            Self::Assumed => ChosenBy::HostWithoutOwner,
+            Self::Assumed { .. } | Self::OtherHost => ChosenBy::HostWithoutOwner,
         }
     }
 
@@ -50,7 +57,7 @@
         match self {
             Self::Local(grant) => grant.release(release),
             Self::Remote(grant) => grant.release(release),
-            Self::Assumed => {}
+            Self::Assumed { .. } | Self::OtherHost => {}
         }
     }
 }
@@ -115,12 +122,14 @@
     let may_send_without_grant = |engine: &Upstream| {
         let observed_adapters = node.observed_adapters.borrow();
         observed_adapters.may_send_without_grant(&engine.id, node.now())
+            && brittle_services::may_send_alone(node, engine)
     };
     if let Some(engine) = without_owner.find(|engine| {
         may_send_without_grant(engine) && is_probably_resident(node, engine, request.model())
     }) {
         node.metrics.grants.count("assumed");
-        return Ok((Arc::clone(engine), Grant::Assumed, None));
+        let grant = Grant::Assumed { _load: node.upstream_loads.track(&engine.id) };
+        return Ok((Arc::clone(engine), grant, None));
     }
     node.metrics.grants.count("none");
     Err(search.shortest_wait().map_or(NoGrant::NoOwner, NoGrant::Refused))
--- a/crates/tarragon_node/src/engine_requests.rs
+++ b/crates/tarragon_node/src/engine_requests.rs
@@ -178,7 +178,7 @@
             self.consecutive_refusals = 0;
         }
         self.consecutive_refusals += 1;
-        let is_assumed = matches!(grant, Grant::Assumed);
+        let is_assumed = matches!(grant, Grant::Assumed { .. });
         if is_assumed {
             node.observed_adapters.borrow_mut().pause(&upstream.id, node.now());
         }
