An owner makes room for late orders at successive counts before it loads more

After a restart the owner knew late loads at each of the next ten counts, which alone could fill the engine; it loaded on as long as that made nothing worse, until a late load was carried out at a full engine. Cause: the check compared with the state before only, also where that state could overfill the engine. Now an idle adapter is unloaded first if that leaves late orders more room.

--- a/crates/rail_place/src/owner/orders.rs
+++ b/crates/rail_place/src/owner/orders.rs
@@ -5,7 +5,7 @@
     adapter::{AdapterEntry, LoadState, Occupancy},
     message::{AdapterPath, OrderKind, OrderResult, OwnerCommand},
 };
-use std::time::Duration;
+use std::{cmp::Ordering, time::Duration};
 
 /// Adapters that an engine keeps in host memory for each of its adapter slots.
 const RECENT_PER_ADAPTER_SLOT: usize = 6;
@@ -27,6 +27,19 @@
 /// Factor by which the estimate shrinks with each accepted load.
 const ESTIMATE_DECAY: f64 = 0.99;
 
+/// Room that late copies of orders find after a further order, beside the room before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RoomForLateCopies {
+    /// All of them find room.
+    Enough,
+    /// They may overfill the engine, by fewer adapters than before.
+    More,
+    /// They may overfill the engine as before.
+    AsMuch,
+    /// They may overfill the engine by more adapters than before.
+    Less,
+}
+
 impl EngineOwner {
     /// Records the result of the order that was sent last.
     pub fn finish_order(&mut self, result: OrderResult, now: Duration) {
@@ -111,9 +124,13 @@
             }
             return None;
         }
-        if !self.leaves_room_for_late_copies(&self.orders[0], expected, now) {
-            let unload = self.unload_for_late_copies(expected, now)?;
-            self.orders.insert(0, unload);
+        let room = self.room_for_late_copies(&self.orders[0], expected, now);
+        if room != RoomForLateCopies::Enough {
+            match self.unload_for_late_copies(expected, now) {
+                Some(unload) => self.orders.insert(0, unload),
+                None if room == RoomForLateCopies::Less => return None,
+                None => {}
+            }
         }
         let order = self.orders.remove(0);
         self.late_copies.record_sent(&order, expected, now);
@@ -134,11 +151,22 @@
         !is_placed && self.room(Duration::ZERO).occupied >= self.adapter_slots
     }
 
-    /// Reports whether late copies of orders still find room once an order is carried out, or at
-    /// least as much as before.
-    fn leaves_room_for_late_copies(&self, order: &OrderKind, expected: u64, now: Duration) -> bool {
+    /// Returns how much room late copies of orders find once an order is carried out.
+    fn room_for_late_copies(
+        &self,
+        order: &OrderKind,
+        expected: u64,
+        now: Duration,
+    ) -> RoomForLateCopies {
         let after = self.most_occupied(expected + 1, Some(order), None, now);
-        after <= self.adapter_slots || after <= self.most_occupied(expected, None, None, now)
+        if after <= self.adapter_slots {
+            return RoomForLateCopies::Enough;
+        }
+        match after.cmp(&self.most_occupied(expected, None, None, now)) {
+            Ordering::Less => RoomForLateCopies::More,
+            Ordering::Equal => RoomForLateCopies::AsMuch,
+            Ordering::Greater => RoomForLateCopies::Less,
+        }
     }
 
     /// Returns the most adapter slots that can be occupied through late copies from a count of the
@@ -178,7 +206,8 @@
             return None;
         }
         let unload = OrderKind::Unload(self.select_eviction(now)?);
-        if !self.leaves_room_for_late_copies(&unload, expected, now) {
+        let room = self.room_for_late_copies(&unload, expected, now);
+        if !matches!(room, RoomForLateCopies::Enough | RoomForLateCopies::More) {
             return None;
         }
         self.mark_unloading(&unload);
--- a/crates/rail_place/tests/late_copies.rs
+++ b/crates/rail_place/tests/late_copies.rs
@@ -176,3 +176,28 @@
     let refused = owner.request_start(start_request(4, "c", ms(8_000)), ms(8_000));
     assert_eq!(owner.poll(ms(8_000), true), [], "no adapter is idle ({refused:?})");
 }
+
+/// Guards against an engine that is filled up although late loads at successive counts may fill it,
+/// too, while an idle adapter could make room for them.
+#[test]
+fn late_loads_at_successive_counts_overfill_the_engine() {
+    let mut owner = owner(&[]);
+    report(&mut owner, &[], 0, ms(0));
+    for (id, adapter, expected) in [(1, "c", 0), (2, "d", 1)] {
+        let now = ms(id * 1_000);
+        request(&mut owner, id, adapter, now);
+        lose_first_answer(&mut owner, &load(adapter), expected, now);
+        assert_eq!(owner.poll(now + ms(400), true), [OwnerCommand::Grant(id, None)]);
+        owner.release(id, GrantOutcome::Ended, None, now + ms(450));
+    }
+    request(&mut owner, 3, "e", ms(3_000));
+    lose_first_answer(&mut owner, &unload("c"), 2, ms(3_000));
+    lose_first_answer(&mut owner, &load("e"), 3, ms(3_000));
+    owner.release(3, GrantOutcome::Ended, None, ms(3_010));
+    restart(&mut owner, ms(4_000));
+    let now = serve(&mut owner, 4, "a", 0, ms(4_100));
+    request(&mut owner, 5, "b", now);
+    assert_eq!(owner.poll(now, true), [order(unload("a"), 1)], "late loads may follow");
+    owner.finish_order(OrderResult::Accepted, now);
+    assert_eq!(owner.poll(now, true), [order(load("b"), 2)]);
+}
