An unload that leaves late orders as much room is still sent where an order leaves less

The change before refused such unloads too, which could stall loads until the late orders were out of date (30 s).

--- a/crates/rail_place/src/owner/orders.rs
+++ b/crates/rail_place/src/owner/orders.rs
@@ -28,16 +28,16 @@
 const ESTIMATE_DECAY: f64 = 0.99;
 
 /// Room that late copies of orders find after a further order, beside the room before it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum RoomForLateCopies {
-    /// All of them find room.
-    Enough,
-    /// They may overfill the engine, by fewer adapters than before.
-    More,
-    /// They may overfill the engine as before.
-    AsMuch,
     /// They may overfill the engine by more adapters than before.
     Less,
+    /// They may overfill the engine as before.
+    AsMuch,
+    /// They may overfill the engine, by fewer adapters than before.
+    More,
+    /// All of them find room.
+    Enough,
 }
 
 impl EngineOwner {
@@ -124,12 +124,18 @@
             }
             return None;
         }
-        let room = self.room_for_late_copies(&self.orders[0], expected, now);
-        if room != RoomForLateCopies::Enough {
-            match self.unload_for_late_copies(expected, now) {
-                Some(unload) => self.orders.insert(0, unload),
-                None if room == RoomForLateCopies::Less => return None,
-                None => {}
+        match self.room_for_late_copies(&self.orders[0], expected, now) {
+            RoomForLateCopies::Enough | RoomForLateCopies::More => {}
+            RoomForLateCopies::AsMuch => {
+                let unload = self.unload_for_late_copies(RoomForLateCopies::More, expected, now);
+                if let Some(unload) = unload {
+                    self.orders.insert(0, unload);
+                }
+            }
+            RoomForLateCopies::Less => {
+                let unload =
+                    self.unload_for_late_copies(RoomForLateCopies::AsMuch, expected, now)?;
+                self.orders.insert(0, unload);
             }
         }
         let order = self.orders.remove(0);
@@ -200,14 +206,18 @@
         occupied + self.late_copies.most_added(count, is_placed, is_idle, now)
     }
 
-    /// Selects an adapter to unload, so that late copies find room, and marks it.
-    fn unload_for_late_copies(&mut self, expected: u64, now: Duration) -> Option<OrderKind> {
+    /// Selects an adapter to unload, so that late copies find this much room at least, and marks it.
+    fn unload_for_late_copies(
+        &mut self,
+        least_room: RoomForLateCopies,
+        expected: u64,
+        now: Duration,
+    ) -> Option<OrderKind> {
         if self.pending_unloads().next().is_some() {
             return None;
         }
         let unload = OrderKind::Unload(self.select_eviction(now)?);
-        let room = self.room_for_late_copies(&unload, expected, now);
-        if !matches!(room, RoomForLateCopies::Enough | RoomForLateCopies::More) {
+        if self.room_for_late_copies(&unload, expected, now) < least_room {
             return None;
         }
         self.mark_unloading(&unload);
