--- a/crates/rail_dispatch/src/run_end.rs
+++ b/crates/rail_dispatch/src/run_end.rs
@@ -44,7 +44,7 @@
     const TIME_BITS: u32 = 11;
     /// Bits of the survived refusals plus one; 0 if the service is not brittle. Earlier builds don't
     /// read them.
-    const REFUSAL_BITS: u32 = 8;
+    const REFUSAL_BITS: u32 = 20;
 
     /// Returns the code that reports this end. Larger values than its bits hold are reported as the
     /// largest one.
--- a/crates/rail_dispatch/tests/dispatcher.rs
+++ b/crates/rail_dispatch/tests/dispatcher.rs
@@ -220,7 +220,7 @@
         requests: u16,
         percent: u16,
         took_ms: u16,
-        refusals: Option<u8>
+        refusals: Option<u16>
     ) -> bool {
         let report = LoadReport {
             requests: u32::from(requests % 500),
@@ -231,7 +231,7 @@
             outcome: RunOutcome::Failed,
             report: Some(report),
             took,
-            max_refusals_per_s: refusals.map(|refusals| u32::from(refusals % 250)),
+            max_refusals_per_s: refusals.map(u32::from),
         };
         RunEnd::from_code(end.code()) == end
     }
