A host that stands in for a lost dispatcher uses all slots once most hosts call it

Cause: the stand-in kept to a quarter until the heartbeats of the lost one had lapsed. Where three quarters of the live hosts call it, hardly any can call another dispatcher.

--- a/crates/tarragon_node/src/dispatch.rs
+++ b/crates/tarragon_node/src/dispatch.rs
@@ -7,7 +7,8 @@
     node::{Node, SharedNode},
 };
 use rail_dispatch::{
-    Arrival, Dispatcher, InstanceStatus, RunEnd, RunId, RunKnowledge, RunOutcome, RunRequest,
+    Arrival, Caller, Dispatcher, InstanceStatus, RunEnd, RunId, RunKnowledge, RunOutcome,
+    RunRequest,
 };
 use rail_peer::DispatchRequest;
 use rail_route::{ServiceId, UpstreamId};
@@ -178,7 +179,11 @@
 
 /// Decides on the request of any host as the dispatcher of its service. Returns `None` if this host
 /// is stopping or knows no instance that may run it, else the time of a refusal as the error.
-pub fn request(node: &SharedNode, call: &DispatchRequest) -> Option<Result<LocalRun, Duration>> {
+pub fn request(
+    node: &SharedNode,
+    caller: Caller,
+    call: &DispatchRequest,
+) -> Option<Result<LocalRun, Duration>> {
     if node.is_stopping.get() {
         return None;
     }
@@ -194,7 +199,7 @@
     let (sender, decision) = oneshot::channel();
     let arrival = node.dispatch.with_service(&call.service, |service| {
         service.read_instances(node, &call.service, now);
-        service.knowledge.record_request(now);
+        service.knowledge.record_request(caller, now);
         service.update_room(node, &call.service, now);
         service.used_at = now;
         let arrival = service.dispatcher.request(request, now);
