--- a/crates/rail_dispatch/src/lib.rs
+++ b/crates/rail_dispatch/src/lib.rs
@@ -3,9 +3,8 @@
 //! One host dispatches a service for all hosts: [`rank_dispatchers`] names it, and its
 //! [`Dispatcher`] tracks every run in progress, queues requests while no instance has room, and
 //! refuses what can't start in time. [`WorkTime`] learns how long work takes on an instance from
-//! the ends of runs ([`RunEnd`]) and from the [`Pace`] that instances report. [`RunKnowledge`]
-//! limits how far a dispatcher fills instances that can't turn many requests away. Without a
-//! dispatcher a host chooses by what it has seen itself ([`UpstreamLoads`]).
+//! the ends of runs ([`RunEnd`]) and from the [`Pace`] that instances report. [`RunKnowledge`] limits
+//! how far it fills instances that can't turn many requests away. Without a dispatcher a host chooses by what it has seen itself ([`UpstreamLoads`]).
 //!
 //! The caller passes in the current time; nothing here does I/O or reads a clock.
 
@@ -27,7 +26,7 @@
         loads::{LoadGuard, UpstreamLoads},
         pace::{LoadReport, Pace},
         rank::rank_dispatchers,
-        room::{Caller, DispatcherStanding, RoomRule, RunKnowledge, may_send_uncounted},
+        room::{DispatcherStanding, RoomRule, RunKnowledge, may_send_uncounted},
         run_end::{RunEnd, RunOutcome},
         work_time::{SpeedClass, WorkTime},
     };
--- a/crates/rail_dispatch/src/room.rs
+++ b/crates/rail_dispatch/src/room.rs
@@ -1,16 +1,12 @@
 //! How far a dispatcher fills the instances of its service.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 /// Time without a request after which a dispatcher may have been replaced or stood still, so that
 /// others may have started runs.
 const QUIET_TIME: Duration = Duration::from_millis(300);
 /// Time in which nearly all runs end that others have started.
 const SETTLING_TIME: Duration = Duration::from_secs(1);
-/// Time for which a host counts as one that calls this dispatcher.
-const CALLER_MEMORY: Duration = Duration::from_secs(1);
-/// Share of the live hosts from which on hardly any call another dispatcher.
-const MOST_HOSTS_SHARE: f64 = 0.75;
 /// Share of the slots that a dispatcher fills while others may have started runs.
 const UNSETTLED_SHARE: f64 = 0.25;
 /// Pause of an instance that turned a request away, and can turn many away.
@@ -20,9 +16,6 @@
 /// Share of the refusals that an instance survives which a dispatcher may cause.
 const REFUSAL_SHARE: f64 = 0.5;
 
-/// Address of the host that sends a request, `None` for the dispatcher's own.
-pub type Caller = Option<SocketAddr>;
-
 /// How many runs a dispatcher starts on one instance.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum RoomRule {
@@ -76,12 +69,11 @@
 }
 
 impl DispatcherStanding {
-    /// Returns the share of the slots that this dispatcher may use while this many hosts call it.
-    fn share(self, callers: usize) -> f64 {
+    /// Returns the share of the slots that this dispatcher may use.
+    fn share(self) -> f64 {
         let known_hosts = self.known_hosts.max(self.live_hosts).max(1);
         let heard = self.live_hosts as f64 / known_hosts as f64;
-        let is_called_by_most = callers as f64 >= self.live_hosts as f64 * MOST_HOSTS_SHARE;
-        if self.is_first || is_called_by_most { heard } else { heard * UNSETTLED_SHARE }
+        if self.is_first { heard } else { heard * UNSETTLED_SHARE }
     }
 }
 
@@ -90,23 +82,19 @@
 pub struct RunKnowledge {
     last_request_at: Option<Duration>,
     settled_at: Duration,
-    /// Hosts that have called lately, with the time of their last call.
-    callers: HashMap<Caller, Duration>,
     /// Whether a run has ended since others may have started some.
     has_answer: bool,
 }
 
 impl RunKnowledge {
     /// Records that a request arrived.
-    pub fn record_request(&mut self, caller: Caller, now: Duration) {
+    pub fn record_request(&mut self, now: Duration) {
         let is_quiet = |at: Duration| now > at + QUIET_TIME;
         if self.last_request_at.is_none_or(is_quiet) {
             self.settled_at = now + SETTLING_TIME;
             self.has_answer = false;
         }
         self.last_request_at = Some(now);
-        self.callers.retain(|_, called_at| now <= *called_at + CALLER_MEMORY);
-        self.callers.insert(caller, now);
     }
 
     /// Records the answer to a run, which tells whether the service is brittle.
@@ -126,7 +114,7 @@
         if max_refusals_per_s.is_none() && self.has_answer {
             return RoomRule::Surplus;
         }
-        let share = standing().share(self.callers.len());
+        let share = standing().share();
         let is_settled = now >= self.settled_at;
         let share = if is_settled { share } else { share.min(UNSETTLED_SHARE) };
         RoomRule::Certain { share, refusal_pause: refusal_pause(max_refusals_per_s.unwrap_or(1)) }
--- a/crates/rail_dispatch/tests/room.rs
+++ b/crates/rail_dispatch/tests/room.rs
@@ -98,46 +98,27 @@
     let mut knowledge = RunKnowledge::default();
     let rule =
         |knowledge: &RunKnowledge, limit, now| share(knowledge.room_rule(limit, || ALL_HEARD, now));
-    knowledge.record_request(None, ms(0));
+    knowledge.record_request(ms(0));
     assert_eq!(rule(&knowledge, None, ms(0)), Some(0.25), "it may be brittle");
     knowledge.record_answer();
     assert_eq!(rule(&knowledge, None, ms(50)), None);
     assert_eq!(rule(&knowledge, Some(2), ms(50)), Some(0.25));
     for now in (200..=1_000).step_by(200) {
-        knowledge.record_request(None, ms(now));
+        knowledge.record_request(ms(now));
     }
     assert_eq!(rule(&knowledge, Some(2), ms(1_000)), Some(1.0));
     // It stood still, or another host was asked meanwhile.
-    knowledge.record_request(None, ms(1_500));
+    knowledge.record_request(ms(1_500));
     assert_eq!(rule(&knowledge, Some(2), ms(1_500)), Some(0.25));
     assert_eq!(rule(&knowledge, None, ms(1_500)), Some(0.25));
 }
 
-/// Guards against a host that stands in for a lost dispatcher and leaves most slots empty.
-#[test]
-fn a_host_that_all_others_call_leaves_slots_empty() {
-    let mut knowledge = RunKnowledge::default();
-    let stand_in = DispatcherStanding { is_first: false, ..ALL_HEARD };
-    let mut call = |callers: u16, from_ms: u64| {
-        for now in (from_ms..=from_ms + 1_000).step_by(100) {
-            for port in 0..callers {
-                knowledge.record_request(Some(([127, 0, 0, 1], port).into()), ms(now));
-            }
-        }
-        let now = ms(from_ms + 1_000);
-        share(knowledge.room_rule(Some(2), || stand_in, now))
-    };
-    assert_eq!(call(3, 0), Some(0.25));
-    assert_eq!(call(6, 1_100), Some(1.0));
-    assert_eq!(call(3, 2_300), Some(0.25));
-}
-
 /// Guards against parts of a fleet that fill the same slots.
 #[test]
 fn hosts_that_do_not_hear_each_other_fill_all_slots_each() {
     let mut knowledge = RunKnowledge::default();
     for now in (0..=1_200).step_by(200) {
-        knowledge.record_request(None, ms(now));
+        knowledge.record_request(ms(now));
     }
     let rule = |standing| share(knowledge.room_rule(Some(2), || standing, ms(1_200)));
     assert_eq!(rule(DispatcherStanding { live_hosts: 2, ..ALL_HEARD }), Some(0.25));
--- a/crates/tarragon_node/src/dispatch.rs
+++ b/crates/tarragon_node/src/dispatch.rs
@@ -7,8 +7,7 @@
     node::{Node, SharedNode},
 };
 use rail_dispatch::{
-    Arrival, Caller, Dispatcher, InstanceStatus, RunEnd, RunId, RunKnowledge, RunOutcome,
-    RunRequest,
+    Arrival, Dispatcher, InstanceStatus, RunEnd, RunId, RunKnowledge, RunOutcome, RunRequest,
 };
 use rail_peer::DispatchRequest;
 use rail_route::{ServiceId, UpstreamId};
@@ -179,11 +178,7 @@
 
 /// Decides on the request of any host as the dispatcher of its service. Returns `None` if this host
 /// is stopping or knows no instance that may run it, else the time of a refusal as the error.
-pub fn request(
-    node: &SharedNode,
-    caller: Caller,
-    call: &DispatchRequest,
-) -> Option<Result<LocalRun, Duration>> {
+pub fn request(node: &SharedNode, call: &DispatchRequest) -> Option<Result<LocalRun, Duration>> {
     if node.is_stopping.get() {
         return None;
     }
@@ -199,7 +194,7 @@
     let (sender, decision) = oneshot::channel();
     let arrival = node.dispatch.with_service(&call.service, |service| {
         service.read_instances(node, &call.service, now);
-        service.knowledge.record_request(caller, now);
+        service.knowledge.record_request(now);
         service.update_room(node, &call.service, now);
         service.used_at = now;
         let arrival = service.dispatcher.request(request, now);
--- a/crates/tarragon_node/src/dispatch_calls.rs
+++ b/crates/tarragon_node/src/dispatch_calls.rs
@@ -229,7 +229,7 @@
 }
 
 async fn request_from_own(node: &SharedNode, call: &DispatchRequest) -> Reply {
-    match dispatch::request(node, None, call) {
+    match dispatch::request(node, call) {
         None => Reply::NoDecision("not_dispatcher"),
         Some(Err(retry_after)) => Reply::Refused(retry_after),
         Some(Ok(mut run)) => match run.decision().await {
@@ -289,7 +289,7 @@
     call: DispatchRequest,
     mut replies: ReplySender,
 ) {
-    let mut run = match dispatch::request(&node, Some(peer), &call) {
+    let mut run = match dispatch::request(&node, &call) {
         None => return send_final_reply(replies, DispatchReply::NotDispatcher).await,
         Some(Err(retry_after)) => {
             let retry_after_ms = retry_after.as_millis() as u32;
