A list that cannot be read to its end does not count as whole

Cause: a list went on after the last object that could be read. Where a page brought none, it ended there and looked whole: its readers removed what it did not contain, and took every change up to its revision as known.

A page without a further name makes the listing incomplete: what it contains is used, nothing is removed and no revision counts as known for it, it is not taken for the list of all hosts or of all origins of streams, and it is repeated each second. The configuration, which has a name of its own, is then read by that name. The log has the event listing_incomplete.

What remains: what stands behind a page of nameless objects only is not known until such an object is gone, or the other changes.

--- a/crates/tarragon_node/src/events.rs
+++ b/crates/tarragon_node/src/events.rs
@@ -44,6 +44,8 @@
     Config { version: u64, before: u64, routes: usize },
     /// A complete listing is older than what is known, so its records are ignored.
     ListingOutdated { kind: &'a str, revision: Revision, known: Revision },
+    /// A listing has a page that can't be read to its end, so it doesn't tell which records are gone.
+    ListingIncomplete { kind: &'a str, revision: Revision },
     /// A record is invalid.
     BadRecord { kind: &'a str, name: &'a str, reason: String },
     /// An upstream registered, changed its state or was removed.
--- a/crates/tarragon_node/src/node.rs
+++ b/crates/tarragon_node/src/node.rs
@@ -267,7 +267,7 @@
     /// Returns whether callers should use this host: it knows routes and upstreams and is not
     /// stopping.
     pub fn is_ready(&self) -> bool {
-        let knows_upstreams = !self.registry.revision(RecordKind::Upstreams).is_unknown();
+        let knows_upstreams = self.registry.knows_upstreams();
         self.routes.borrow().is_some() && knows_upstreams && !self.is_stopping.get()
     }
 
--- a/crates/tarragon_node/src/peers.rs
+++ b/crates/tarragon_node/src/peers.rs
@@ -413,7 +413,9 @@
         let Ok(record) = serde_json::from_value::<HostRecord>(object.value) else { continue };
         node.peers.registered.borrow_mut().insert(object.name, record.peer_address);
     }
-    node.return_guard.borrow_mut().record_hosts_listed();
+    if listing.is_complete {
+        node.return_guard.borrow_mut().record_hosts_listed();
+    }
     contact_registered_hosts(node);
 }
 
--- a/crates/tarragon_node/src/record_sources.rs
+++ b/crates/tarragon_node/src/record_sources.rs
@@ -12,15 +12,15 @@
     replica::RecordKind,
     source::{Source, SourceCandidate, SourceChooser, StoreAccess},
 };
-use rail_revision::Revision;
 use rail_runtime::time_since_boot;
 use rail_site::{
     Freshness, StoreError,
     objects::{Change, Changes, Listing, UnreadableObject},
+    records::{CONFIG_KIND, CONFIG_NAME},
 };
 use rand::seq::IteratorRandom;
 use std::{cell::RefCell, rc::Rc, time::Duration};
-use tokio::task::JoinHandle;
+use tokio::{task::JoinHandle, time::timeout};
 
 /// Timeout of a store call. For a watch, the time that it waits for changes is added.
 const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -37,6 +37,8 @@
 const MAX_BACKOFF_STEPS: u32 = 6;
 /// Interval at which the tasks of other kinds check whether the store answers again.
 const RECOVERY_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after which an incomplete listing is repeated, since what it leaves out may not change soon.
+const INCOMPLETE_LISTING_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval at which the source is reconsidered while the store is followed.
 const SOURCE_CHOICE_INTERVAL: Duration = Duration::from_millis(700);
 /// Time after the start in which hosts discover each other before a source is chosen.
@@ -149,9 +151,28 @@
     node.store_health.is_following_store.set(false);
 }
 
+/// Lists the records of a kind. The configuration has a name of its own, so it is found even if the
+/// listing can't be read to its end.
+async fn list_records(
+    node: &Node,
+    kind: RecordKind,
+    freshness: Freshness,
+    call_timeout: Duration,
+) -> Result<Listing, StoreError> {
+    let mut listing = node.store.list(store_kind(kind), freshness, call_timeout).await?;
+    if kind == RecordKind::Config && !listing.is_complete {
+        match node.store.read(CONFIG_KIND, CONFIG_NAME, freshness, call_timeout).await {
+            Ok(config) => listing.objects.push(config),
+            Err(StoreError::NotFound) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(listing)
+}
+
 async fn list_kind(node: &SharedNode, kind: RecordKind) {
     loop {
-        match node.store.list(store_kind(kind), Freshness::MayBeStale, STORE_CALL_TIMEOUT).await {
+        match list_records(node, kind, Freshness::MayBeStale, STORE_CALL_TIMEOUT).await {
             Ok(listing) => {
                 record_call_result(node, kind, None);
                 return apply_listing(node, kind, &listing);
@@ -200,7 +221,7 @@
     let mut freshness = Freshness::MayBeStale;
     loop {
         let asked_at = time_since_boot();
-        match node.store.list(store_kind(kind), freshness, STORE_CALL_TIMEOUT).await {
+        match list_records(&node, kind, freshness, STORE_CALL_TIMEOUT).await {
             Ok(listing) => {
                 record_call_result(&node, kind, None);
                 apply_listing(&node, kind, &listing);
@@ -208,7 +229,12 @@
                     node.confirmations.borrow_mut().record(kind, asked_at);
                     registry::publish_ages(&node);
                 }
-                watch_from(&node, kind, listing.revision).await;
+                let watch = watch_from(&node, kind, &listing);
+                if listing.is_complete {
+                    watch.await;
+                } else {
+                    let _listed_again = timeout(INCOMPLETE_LISTING_INTERVAL, watch).await;
+                }
                 freshness = Freshness::Latest;
             }
             Err(error) => handle_call_failure(&node, kind, &error).await,
@@ -216,9 +242,9 @@
     }
 }
 
-/// Watches changes of a kind until its history is gone and it must be listed again.
-async fn watch_from(node: &SharedNode, kind: RecordKind, revision: Revision) {
-    let mut revision = revision;
+/// Watches changes of a kind since a listing until its history is gone and it must be listed again.
+async fn watch_from(node: &SharedNode, kind: RecordKind, listing: &Listing) {
+    let mut revision = listing.revision;
     let mut pause = Duration::ZERO;
     loop {
         let budget = node.record_bounds().budget(kind);
@@ -247,7 +273,10 @@
                     !changes.changes.is_empty(),
                 );
                 revision = changes.revision;
-                node.registry.advance(kind, revision);
+                // Otherwise records that the listing left out would count as removed.
+                if listing.is_complete {
+                    node.registry.advance(kind, revision);
+                }
                 registry::publish_ages(node);
             }
             Err(StoreError::HistoryGone) => {
@@ -277,8 +306,7 @@
             Ok(())
         }
         Err(StoreError::HistoryGone) => {
-            let listing =
-                node.store.list(store_kind(kind), Freshness::Latest, refresh::STORE_CALL_TIMEOUT);
+            let listing = list_records(node, kind, Freshness::Latest, refresh::STORE_CALL_TIMEOUT);
             listing.await.map(|listing| apply_listing(node, kind, &listing))
         }
         Err(error) => Err(error),
@@ -378,5 +406,9 @@
     for object in &listing.objects {
         registry::apply_stored_record(node, kind, object);
     }
-    registry::apply_complete_listing(node, kind, &names, listing.revision);
+    if listing.is_complete {
+        registry::apply_complete_listing(node, kind, &names, listing.revision);
+    } else {
+        registry::record_incomplete_listing(node, kind, listing.revision);
+    }
 }
--- a/crates/tarragon_node/src/registry.rs
+++ b/crates/tarragon_node/src/registry.rs
@@ -55,6 +55,8 @@
     possibly_expired: RefCell<DeferredRemovals>,
     /// End of the last store outage; zero if there was none.
     store_recovered_at: Cell<Duration>,
+    /// Whether an incomplete listing named upstreams.
+    has_incomplete_upstreams: Cell<bool>,
     /// Record of the applied configuration.
     applied_config: RefCell<Option<(Revision, RecordText)>>,
 }
@@ -104,6 +106,12 @@
         self.replicas.borrow().get(&kind).map(Replica::revision).unwrap_or_default()
     }
 
+    /// Returns whether the upstreams are known, as far as they can be read.
+    pub fn knows_upstreams(&self) -> bool {
+        let is_known = !self.revision(RecordKind::Upstreams).is_unknown();
+        is_known || self.has_incomplete_upstreams.get()
+    }
+
     /// Records that every change of a kind up to a revision is known.
     pub fn advance(&self, kind: RecordKind, revision: Revision) {
         self.replicas.borrow_mut().entry(kind).or_default().advance(revision);
@@ -302,6 +310,16 @@
     });
 }
 
+/// Records that a listing as of a revision leaves out objects which can't be read: it doesn't tell which
+/// records are gone.
+pub fn record_incomplete_listing(node: &SharedNode, kind: RecordKind, revision: Revision) {
+    store_return::record_era(node, revision.era);
+    if kind == RecordKind::Upstreams {
+        node.registry.has_incomplete_upstreams.set(true);
+    }
+    node.events.important(&Event::ListingIncomplete { kind: store_kind(kind), revision });
+}
+
 /// Removes all records of a kind that are not in `names`, the complete list as of a revision.
 pub fn apply_complete_listing(
     node: &SharedNode,
--- a/crates/tarragon_node/src/stored_origins.rs
+++ b/crates/tarragon_node/src/stored_origins.rs
@@ -113,10 +113,11 @@
     let now = node.now();
     let is_recent = |(read_at, _): &(Duration, Vec<StoredOrigins>)| *read_at + LISTING_TIME >= now;
     if !listing.as_ref().is_some_and(is_recent) {
-        let objects =
-            node.store.list(STORE_KIND, Freshness::Latest, STORE_CALL_TIMEOUT).await.ok()?;
+        let listed = node.store.list(STORE_KIND, Freshness::Latest, STORE_CALL_TIMEOUT).await;
+        // What an incomplete listing leaves out may be the origin of the stream.
+        let listed = listed.ok().filter(|listed| listed.is_complete)?;
         let decode = |object: StoredObject| serde_json::from_value(object.value).ok();
-        *listing = Some((now, objects.objects.into_iter().filter_map(decode).collect()));
+        *listing = Some((now, listed.objects.into_iter().filter_map(decode).collect()));
     }
     let (_, origins) = listing.as_ref()?;
     let today = since_epoch();
