A response without the status of a final one counts as lost

Callers: a server in trouble that answers 101, 600, 700 or 999 had that passed on as the answer of the request, on each kind of route; after a 101 the caller gets no answer at all.

Cause: the HTTP client takes three digits from 100 for a status, and 101 for the end of the exchange, although no call asks to switch protocols. The pool passed both on to all its users: requests, detours, orders, reports, health checks, the daemons' engines and services, and the store.

Change: the pool counts a response whose status is not 200 to 599 as lost and closes its connection. The request may have run, so it is repeated only where it may be.

--- a/crates/rail_upstream/src/lib.rs
+++ b/crates/rail_upstream/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pool;
 pub mod proof;
 mod refused_ids;
+mod response_head;
 
 /// Commonly used items.
 pub mod prelude {
--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -8,6 +8,7 @@
     head_limit::{HeadLimit, HeadLimitedStream},
     proof::{Attribution, Evidence, attribute},
     refused_ids::RefusedIds,
+    response_head,
 };
 use bytes::Bytes;
 use http::{Method, Request, Response, response::Parts};
@@ -47,7 +48,7 @@
     /// No byte of the request reached the upstream.
     #[error("not_sent")]
     NotSent,
-    /// The request was sent, at least in part, and no complete response head was received.
+    /// The request was sent, at least in part, and no head that a response can have was received.
     #[error("lost")]
     Lost,
 }
@@ -309,7 +310,10 @@
     let result = connection.sender.try_send_request(request).await;
     connection.head_limit.end();
     match result {
-        Ok(response) => Ok(UpstreamResponse::new(&method, response, connection, id)),
+        Ok(response) if response_head::is_final(response.status()) => {
+            Ok(UpstreamResponse::new(&method, response, connection, id))
+        }
+        Ok(_unusable) => Err(ExchangeError::Failed(SendError::Lost)),
         Err(mut error) => Err(match error.take_message() {
             Some(request) => ExchangeError::NotSent(Box::new(request)),
             None => ExchangeError::Failed(SendError::Lost),
