A body in a transfer coding that no call asks for counts as lost

Callers: a server in trouble whose head names a transfer coding beside or after chunks, or another one, had the coded bytes passed on as its body. With "chunked, x" the body ends with the connection, and its part was told as complete with a length (found by the new test, not reported).

Cause: the HTTP client reads such a body until the end of the connection, or takes off the chunks only; Framing took any head that mentions chunks for a marked end.

Change: the pool counts a response as lost whose transfer coding is not exactly chunked.

Evidence: heads_that_are_none_reach_callers failed before in these four cases on each of four routes (on with the cases in); it passes now.

A length beside chunks stays as it is: the HTTP client drops the length and the chunks decide, as RFC 9112, 6.3 says.

--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -309,9 +309,9 @@
     connection.head_limit.start();
     let result = connection.sender.try_send_request(request).await;
     connection.head_limit.end();
-    match result {
-        Ok(response) if response_head::is_final(response.status()) => {
-            Ok(UpstreamResponse::new(&method, response, connection, id))
+    match result.map(Response::into_parts) {
+        Ok((head, body)) if response_head::is_usable(&head) => {
+            Ok(UpstreamResponse::new(&method, head, body, connection, id))
         }
         Ok(_unusable) => Err(ExchangeError::Failed(SendError::Lost)),
         Err(mut error) => Err(match error.take_message() {
@@ -324,11 +324,11 @@
 impl UpstreamResponse {
     fn new(
         method: &Method,
-        response: Response<Incoming>,
+        head: Parts,
+        body: Incoming,
         connection: PooledConnection,
         id: Option<&str>,
     ) -> Self {
-        let (head, body) = response.into_parts();
         let framing = Framing::of(method, &head);
         let mut connection = connection;
         let is_first_on_connection = !std::mem::replace(&mut connection.is_used, true);
