An answer that ends before its upload is written counts as broken off

Cause: the end of the connection marks that of a body without a length. It came in order, before the reset, and nobody looked at whether the upstream could have read the request at all.

Change: the stream of a connection knows whether all bytes of the request are written. If not, the end of the connection means a broken body. So that the system's buffer does not hide an upload of megabytes that nobody reads, the send buffer of connections to upstreams is 64 KiB (128 KiB as Linux counts).

What remains: an upload that fits into both systems' buffers looks written.

--- a/crates/rail_upstream/src/lib.rs
+++ b/crates/rail_upstream/src/lib.rs
@@ -11,6 +11,7 @@
 //! response belongs to.
 
 pub mod body;
+mod connection_stream;
 pub mod engine;
 pub mod error;
 pub mod events;
@@ -18,6 +19,7 @@
 pub mod pool;
 pub mod proof;
 mod refused_ids;
+mod request_progress;
 mod response_head;
 
 /// Commonly used items.
--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -5,9 +5,11 @@
 
 use crate::{
     body::{BodyContent, BodyEnd, Completeness, Framing, header_contains},
-    head_limit::{HeadLimit, HeadLimitedStream},
+    connection_stream::ConnectionStream,
+    head_limit::HeadLimit,
     proof::{Attribution, Evidence, attribute},
     refused_ids::RefusedIds,
+    request_progress::RequestProgress,
     response_head,
 };
 use bytes::Bytes;
@@ -39,6 +41,9 @@
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
 /// Fraction of the stated keep-alive time for which an idle connection is reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
+/// Size of a connection's send buffer in bytes. What the system takes on counts as written, so a large
+/// buffer hides that an upstream does not read.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum size of a connection's read buffer in bytes.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
@@ -69,6 +74,7 @@
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
     head_limit: HeadLimit,
+    request_progress: RequestProgress,
     pool: Rc<PoolState>,
     address: SocketAddr,
     /// Whether a response has arrived on it.
@@ -265,9 +271,14 @@
         let socket = socket2::SockRef::from(&stream);
         // On a system without these options only the callers' own timeouts apply.
         let _unsupported = stream.set_nodelay(true);
+        let _unsupported = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
         let _unsupported = socket.set_tcp_user_timeout(Some(self.timeouts.unacknowledged));
-        let head_limit = HeadLimit::default();
-        let stream = HeadLimitedStream { stream, limit: head_limit.clone() };
+        let (head_limit, request_progress) = (HeadLimit::default(), RequestProgress::default());
+        let stream = ConnectionStream {
+            stream,
+            head_limit: head_limit.clone(),
+            request_progress: request_progress.clone(),
+        };
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -284,6 +295,7 @@
             sender,
             task,
             head_limit,
+            request_progress,
             pool,
             address,
             is_used: false,
@@ -381,14 +393,18 @@
     /// Waits for the next chunk of the body; returns none at its end.
     ///
     /// # Errors
-    /// [`IncompleteBody`] when the connection ended before the body did, or the body was rejected
-    /// as too large.
+    /// [`IncompleteBody`] when the connection ended before the body did, or before the request was
+    /// written, or the body was rejected as too large.
     pub async fn next(&mut self) -> std::result::Result<Option<Bytes>, IncompleteBody> {
         if self.end == Some(BodyEnd::TooLarge) {
             return Err(IncompleteBody);
         }
         loop {
             match self.body.frame().await {
+                None if self.is_cut_off() => {
+                    self.end = Some(BodyEnd::Lost);
+                    return Err(IncompleteBody);
+                }
                 None => {
                     self.end = Some(match self.framing {
                         Framing::UntilClose => BodyEnd::Closed,
@@ -411,6 +427,14 @@
         }
     }
 
+    /// Returns whether the end of the connection, which marks that of the body, came before the upstream
+    /// could have read the request: it may still follow with a reset.
+    fn is_cut_off(&self) -> bool {
+        let is_unwritten =
+            |connection: &PooledConnection| connection.request_progress.is_unwritten();
+        self.framing == Framing::UntilClose && self.connection.as_ref().is_some_and(is_unwritten)
+    }
+
     /// Reads the whole body, at most `max_bytes`.
     ///
     /// # Errors
