A stated keep-alive time beyond all bounds no longer ends the request

Cause: the time, any number, was made a duration without a check.

Change: an idle connection is reused for an hour at most; what is no duration counts as that.

--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -39,6 +39,8 @@
 
 /// Time for which an idle connection is reused if the upstream states no keep-alive time.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
+/// Longest time for which an idle connection is reused, whatever the upstream states.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3600);
 /// Fraction of the stated keep-alive time for which an idle connection is reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
 /// Size of a connection's send buffer in bytes. What the system takes on counts as written, so a large
@@ -519,7 +521,6 @@
 fn keep_alive_time(head: &Parts) -> Option<Duration> {
     let value = head.headers.get("keep-alive")?.to_str().ok()?;
     let part = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    part.parse::<f64>()
-        .ok()
-        .map(|time_s| Duration::from_secs_f64(time_s.max(0.0) * KEEP_ALIVE_FRACTION))
+    let time_s = part.parse::<f64>().ok()?.max(0.0) * KEEP_ALIVE_FRACTION;
+    Some(Duration::try_from_secs_f64(time_s).unwrap_or(MAX_IDLE_TIME).min(MAX_IDLE_TIME))
 }
