Daemons read objects beside one that they cannot read

Cause: a list of the platform was parsed as one document with all its objects, and an unreadable event ended the watch, after which the same list was read again. The token of a further page was not read. Names went into URLs as they are.

Change: each object and each host of the host list is read by itself; one that can't be read is left out and logged, and takes the place of what had its name. Lists go on to their last page, and a watch starts at the version of the first. Names and tokens are percent-encoded.

Evidence: daemons_follow_no_object_beside_an_odd_one failed before (a change was applied by none of six processes within 5 s); it passes now, with pages of one object and restarted daemons. The stand-in of the platform can cut lists into pages.

--- a/crates/rail_platform/src/client.rs
+++ b/crates/rail_platform/src/client.rs
@@ -3,15 +3,15 @@
 use crate::{
     budget::{BURST_CALLS, CALLS_PER_S, CallBudget},
     error::{Error, Result},
-    object::{
-        ConfigMap, ConfigMapList, DeleteOptions, KIND_LABEL, Object, ObjectKind, ObjectVersion,
-    },
+    object::{self, ConfigMap, DeleteOptions, KIND_LABEL, Object, ObjectKind, ObjectVersion},
 };
 use awc::{
     Client, ClientResponse, Connector,
     error::{ConnectError, SendRequestError},
     http::{Method, StatusCode},
 };
+use bytes::Bytes;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, PercentEncode, utf8_percent_encode};
 use prometheus_client::metrics::gauge::Gauge;
 use rail_runtime::{Metrics, metrics::ReasonCounters};
 use std::{
@@ -26,6 +26,9 @@
 /// Maximum size of a response body in bytes; a larger one fails the call.
 pub const MAX_REPLY_BYTES: usize = 64 << 20;
 
+/// Characters that are encoded in a URL: all but the unreserved ones.
+const ENCODED_IN_URL: &AsciiSet =
+    &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
 /// Body argument of calls without a body; its type only determines the type parameter of `send`.
 const NO_BODY: Option<&ConfigMap> = None;
 
@@ -167,15 +170,28 @@
         Ok(())
     }
 
-    /// Lists all objects of a kind, with the version from which a watch continues the list.
+    /// Lists all objects of a kind that can be read, with the version from which a watch continues the
+    /// list.
     ///
     /// # Errors
-    /// Any failure of the call.
+    /// Any failure of a call.
     pub async fn list(&self, kind: ObjectKind) -> Result<(Vec<Object>, ObjectVersion)> {
-        let url = format!("{}?{}", self.kind_url(kind), kind_selector(kind));
-        let list: ConfigMapList = read_json(self.send(Method::GET, &url, NO_BODY).await?).await?;
-        let objects = list.items.into_iter().map(Object::from).collect();
-        Ok((objects, list.metadata.resource_version))
+        let first_url = format!("{}?{}", self.kind_url(kind), kind_selector(kind));
+        let mut url = first_url.clone();
+        let mut objects = Vec::new();
+        let mut version = None;
+        loop {
+            let body = read_body(self.send(Method::GET, &url, NO_BODY).await?).await?;
+            let page = object::read_page(&String::from_utf8_lossy(&body));
+            let page = page.map_err(reply_unreadable)?;
+            objects.extend(page.objects);
+            // Later pages may be newer; a watch from the first one misses nothing.
+            let first_version = version.get_or_insert(page.version).clone();
+            if page.next_page.is_empty() {
+                return Ok((objects, first_version));
+            }
+            url = format!("{first_url}&continue={}", encode(&page.next_page));
+        }
     }
 
     pub(crate) async fn open_watch(
@@ -187,9 +203,10 @@
         OpenWatchGuard,
     )> {
         let url = format!(
-            "{}?{}&watch=true&allowWatchBookmarks=true&resourceVersion={from_version}",
+            "{}?{}&watch=true&allowWatchBookmarks=true&resourceVersion={}",
             self.kind_url(kind),
-            kind_selector(kind)
+            kind_selector(kind),
+            encode(from_version)
         );
         let reply = self.send(Method::GET, &url, NO_BODY).await?;
         self.budget.borrow_mut().open_watch(self.now());
@@ -219,7 +236,7 @@
 
     fn object_url(&self, name: &str) -> String {
         // All objects that are read or written by name are `ConfigMap`s and share one path.
-        format!("{}/{name}", self.kind_url(ObjectKind::ConfigHead))
+        format!("{}/{}", self.kind_url(ObjectKind::ConfigHead), encode(name))
     }
 
     async fn wait_for_budget(&self) {
@@ -285,17 +302,27 @@
 }
 
 /// Part of a response body, as it arrives.
-pub(crate) type BodyChunk = std::result::Result<bytes::Bytes, awc::error::PayloadError>;
+pub(crate) type BodyChunk = std::result::Result<Bytes, awc::error::PayloadError>;
 
 fn kind_selector(kind: ObjectKind) -> String {
     format!("labelSelector={KIND_LABEL}%3D{}", kind.label())
 }
 
+/// Encodes a name or token, which may be any text, for the path or the query of a call.
+fn encode(text: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(text, ENCODED_IN_URL)
+}
+
 async fn read_json<T: serde::de::DeserializeOwned>(
-    mut reply: ClientResponse<impl futures_util::Stream<Item = BodyChunk> + Unpin>,
+    reply: ClientResponse<impl futures_util::Stream<Item = BodyChunk> + Unpin>,
 ) -> Result<T> {
-    let body = reply.body().limit(MAX_REPLY_BYTES).await.map_err(reply_lost)?;
-    serde_json::from_slice(&body).map_err(reply_unreadable)
+    serde_json::from_slice(&read_body(reply).await?).map_err(reply_unreadable)
+}
+
+async fn read_body(
+    mut reply: ClientResponse<impl futures_util::Stream<Item = BodyChunk> + Unpin>,
+) -> Result<Bytes> {
+    reply.body().limit(MAX_REPLY_BYTES).await.map_err(reply_lost)
 }
 
 fn reply_lost(_error: awc::error::PayloadError) -> Error {
--- a/crates/rail_platform/src/object.rs
+++ b/crates/rail_platform/src/object.rs
@@ -1,7 +1,8 @@
 //! Objects and their representation in the Kubernetes API.
 
 use crate::hosts::Endpoint;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::{Value, value::RawValue};
 use std::collections::BTreeMap;
 
 /// Version of an object, assigned by the platform; opaque to clients.
@@ -84,7 +85,7 @@
     #[serde(default)]
     pub data: BTreeMap<String, String>,
     /// Hosts in an `EndpointSlice`; empty in a `ConfigMap`.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(default, deserialize_with = "read_endpoints", skip_serializing_if = "Vec::is_empty")]
     pub endpoints: Vec<Endpoint>,
 }
 
@@ -121,22 +122,116 @@
     }
 }
 
+/// One page of a list.
+#[derive(Debug)]
+pub(crate) struct ObjectPage {
+    /// Objects that can be read.
+    pub objects: Vec<Object>,
+    /// Version from which a watch continues the list.
+    pub version: ObjectVersion,
+    /// Token with which to ask for the next page; empty on the last one.
+    pub next_page: String,
+}
+
 #[derive(Debug, Deserialize)]
-pub(crate) struct ConfigMapList {
-    pub metadata: Metadata,
-    pub items: Vec<ConfigMap>,
+struct ListText<'a> {
+    metadata: ListMetadata,
+    /// Objects, each decoded by itself.
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
 }
 
 #[derive(Debug, Deserialize)]
-pub(crate) struct WatchEvent {
+#[serde(rename_all = "camelCase")]
+struct ListMetadata {
+    #[serde(default)]
+    resource_version: ObjectVersion,
+    #[serde(rename = "continue", default)]
+    next_page: Option<String>,
+}
+
+/// Reads one page of a list. An object that can't be read is left out.
+///
+/// # Errors
+/// Fails if the text is no list.
+pub(crate) fn read_page(text: &str) -> serde_json::Result<ObjectPage> {
+    let list: ListText<'_> = serde_json::from_str(text)?;
+    let read = |item: &&RawValue| match serde_json::from_str::<ConfigMap>(item.get()) {
+        Ok(map) => Some(Object::from(map)),
+        Err(error) => {
+            log::warn!("an object of a list can't be read: {error}");
+            None
+        }
+    };
+    Ok(ObjectPage {
+        objects: list.items.iter().filter_map(read).collect(),
+        version: list.metadata.resource_version,
+        next_page: list.metadata.next_page.unwrap_or_default(),
+    })
+}
+
+/// One event of a watch.
+#[derive(Debug)]
+pub(crate) enum WatchEvent {
+    /// The object was created or changed.
+    Put(Object),
+    /// The object with this name was deleted, or changed to one that can't be read.
+    Gone(ObjectName),
+    /// Nothing changed, as far as it can be read.
+    Nothing,
+}
+
+#[derive(Debug, Deserialize)]
+struct WatchText<'a> {
     #[serde(rename = "type")]
-    pub event: WatchEventType,
-    pub object: ConfigMap,
+    event: WatchEventType,
+    #[serde(borrow)]
+    object: &'a RawValue,
+}
+
+/// An object of which only the name is read.
+#[derive(Debug, Deserialize)]
+struct NamedText {
+    metadata: NameText,
+}
+
+#[derive(Debug, Deserialize)]
+struct NameText {
+    name: ObjectName,
+}
+
+/// Reads one event of a watch.
+///
+/// # Errors
+/// Fails if the text is no event. An object that can't be read doesn't matter.
+pub(crate) fn read_event(text: &str) -> serde_json::Result<WatchEvent> {
+    let WatchText { event, object } = serde_json::from_str(text)?;
+    if event == WatchEventType::Bookmark {
+        return Ok(WatchEvent::Nothing);
+    }
+    let named = serde_json::from_str::<NamedText>(object.get());
+    match (event, serde_json::from_str::<ConfigMap>(object.get())) {
+        (WatchEventType::Added | WatchEventType::Modified, Ok(map)) => {
+            Ok(WatchEvent::Put(map.into()))
+        }
+        (_, read) => {
+            if let Err(error) = read {
+                log::warn!("an object of a watch can't be read: {error}");
+            }
+            Ok(named.map_or(WatchEvent::Nothing, |named| WatchEvent::Gone(named.metadata.name)))
+        }
+    }
+}
+
+/// Reads the hosts of a list; one that can't be read is left out.
+fn read_endpoints<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Endpoint>, D::Error> {
+    let values = Option::<Vec<Value>>::deserialize(deserializer)?.unwrap_or_default();
+    Ok(values.into_iter().filter_map(|value| Endpoint::deserialize(value).ok()).collect())
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "UPPERCASE")]
-pub(crate) enum WatchEventType {
+enum WatchEventType {
     Added,
     Modified,
     Deleted,
--- a/crates/rail_platform/src/watch.rs
+++ b/crates/rail_platform/src/watch.rs
@@ -4,7 +4,7 @@
     backoff::Backoff,
     client::PlatformClient,
     error::{Error, Result},
-    object::{Object, ObjectKind, ObjectName, WatchEvent, WatchEventType},
+    object::{self, Object, ObjectKind, ObjectName, WatchEvent},
 };
 use futures_util::{StreamExt, TryStreamExt};
 use std::{
@@ -108,7 +108,7 @@
             let Ok(Some(Ok(line))) = next else {
                 return Err(Error::ReplyLost);
             };
-            let Ok(event) = serde_json::from_str::<WatchEvent>(&line) else {
+            let Ok(event) = object::read_event(&line) else {
                 return Err(Error::Unreadable);
             };
             backoff.reset();
@@ -127,13 +127,12 @@
     fn apply_event(&self, event: WatchEvent) {
         let mut cached = self.cached.borrow_mut();
         cached.confirmed_at = Some(Instant::now());
-        let object = Object::from(event.object);
-        match event.event {
-            WatchEventType::Bookmark => return,
-            WatchEventType::Deleted => {
-                cached.objects.remove(&object.name);
+        match event {
+            WatchEvent::Nothing => return,
+            WatchEvent::Gone(name) => {
+                cached.objects.remove(&name);
             }
-            WatchEventType::Added | WatchEventType::Modified => {
+            WatchEvent::Put(object) => {
                 cached.objects.insert(object.name.clone(), object);
             }
         }
--- a/crates/tarragon_standin/src/platform.rs
+++ b/crates/tarragon_standin/src/platform.rs
@@ -56,6 +56,8 @@
     write_delay_ms: u64,
     /// Delay before a change of the host list becomes visible, in milliseconds.
     host_list_lag_ms: u64,
+    /// Most objects in one page of a list; no limit if 0.
+    list_page_objects: usize,
 }
 
 /// Counters that `GET /_stats` returns.
@@ -179,6 +181,9 @@
     label_selector: Option<String>,
     #[serde(default)]
     watch: bool,
+    /// Key of the object after which the next page starts.
+    #[serde(rename = "continue")]
+    continue_after: Option<String>,
 }
 
 fn matches_selector(object: &Value, selector: Option<&str>) -> bool {
@@ -206,10 +211,19 @@
     }
     let inner = data.lock();
     let selector = query.label_selector.as_deref();
-    let items: Vec<&Value> =
-        inner.objects.values().filter(|object| matches_selector(object, selector)).collect();
-    HttpResponse::Ok()
-        .json(json!({"metadata": {"resourceVersion": inner.version.to_string()}, "items": items}))
+    let after = query.continue_after.as_ref();
+    let objects = inner.objects.iter().filter(|(key, _)| after.is_none_or(|after| *key > after));
+    let mut objects: Vec<_> =
+        objects.filter(|(_, object)| matches_selector(object, selector)).collect();
+    let page_objects = inner.faults.list_page_objects;
+    let has_more = page_objects > 0 && objects.len() > page_objects;
+    if has_more {
+        objects.truncate(page_objects);
+    }
+    let next = objects.last().filter(|_| has_more).map(|(key, _)| key);
+    let items: Vec<&Value> = objects.iter().map(|(_, object)| *object).collect();
+    let metadata = json!({"resourceVersion": inner.version.to_string(), "continue": next});
+    HttpResponse::Ok().json(json!({"metadata": metadata, "items": items}))
 }
 
 /// Streams the objects that are newer than the requested resource version, then all further
