Label values are escaped in metrics

Operators: an upstream whose name holds a quote or a line break, as another writer's record may, made all metrics of a host unreadable (found by reading).

Cause: the renderer writes label values as they are.

Change: quotes, backslashes and line breaks are escaped.

Evidence: an_odd_label_value_ends_its_label failed before.

--- a/crates/rail_runtime/src/metrics.rs
+++ b/crates/rail_runtime/src/metrics.rs
@@ -94,7 +94,7 @@
 
     /// Adds an amount to the counter of this reason.
     pub fn add(&self, reason: &str, amount: u64) {
-        self.family.get_or_create(&vec![("reason".to_owned(), reason.to_owned())]).inc_by(amount);
+        self.family.get_or_create(&labels("reason", reason)).inc_by(amount);
     }
 }
 
@@ -108,8 +108,7 @@
 impl GaugeFamily {
     /// Sets the gauge of this label value.
     pub fn set(&self, value: &str, amount: i64) {
-        let labels = vec![(self.label.to_owned(), value.to_owned())];
-        self.family.get_or_create(&labels).set(amount);
+        self.family.get_or_create(&labels(self.label, value)).set(amount);
     }
 
     /// Removes all gauges.
@@ -131,7 +130,12 @@
 impl DurationHistograms {
     /// Records one duration in the histogram of this reason.
     pub fn observe(&self, reason: &str, duration: Duration) {
-        let labels = vec![("reason".to_owned(), reason.to_owned())];
-        self.family.get_or_create(&labels).observe(duration.as_secs_f64());
+        self.family.get_or_create(&labels("reason", reason)).observe(duration.as_secs_f64());
     }
 }
+
+/// Returns one label. The renderer writes values as they are, so those that end one are escaped here.
+fn labels(name: &str, value: &str) -> ReasonLabels {
+    let value = value.replace('\\', r"\\").replace('"', r#"\""#).replace('\n', r"\n");
+    vec![(name.to_owned(), value)]
+}
