--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -403,7 +403,7 @@
         }
         loop {
             match self.body.frame().await {
-                None if self.is_cut_off() => {
+                None if self.ended_before_request() => {
                     self.end = Some(BodyEnd::Lost);
                     return Err(IncompleteBody);
                 }
@@ -431,7 +431,7 @@
 
     /// Returns whether the end of the connection, which marks that of the body, came before the upstream
     /// could have read the request: it may still follow with a reset.
-    fn is_cut_off(&self) -> bool {
+    fn ended_before_request(&self) -> bool {
         let is_unwritten =
             |connection: &PooledConnection| connection.request_progress.is_unwritten();
         self.framing == Framing::UntilClose && self.connection.as_ref().is_some_and(is_unwritten)
