Only connections with long requests get a small send buffer

Cause: the limit, which all connections had, though only a request longer than the buffer needs it.

Change: the buffer is limited when the first request beyond its size is written.

--- a/crates/rail_upstream/src/connection_stream.rs
+++ b/crates/rail_upstream/src/connection_stream.rs
@@ -11,13 +11,40 @@
     net::TcpStream,
 };
 
+/// Size of the send buffer of a connection with a long request, in bytes. What the system takes on
+/// counts as written, so a large buffer hides that an upstream does not read.
+const SEND_BUFFER_BYTES: usize = 64 << 10;
+
 /// A connection whose reads fail once a head is too large, and which tells whether a request is
 /// written.
 #[derive(Debug)]
 pub(crate) struct ConnectionStream {
-    pub(crate) stream: TcpStream,
-    pub(crate) head_limit: HeadLimit,
-    pub(crate) request_progress: RequestProgress,
+    stream: TcpStream,
+    head_limit: HeadLimit,
+    request_progress: RequestProgress,
+    has_small_send_buffer: bool,
+}
+
+impl ConnectionStream {
+    /// Limits and observes what is read and written on a stream.
+    pub(crate) fn new(
+        stream: TcpStream,
+        head_limit: HeadLimit,
+        request_progress: RequestProgress,
+    ) -> Self {
+        Self { stream, head_limit, request_progress, has_small_send_buffer: false }
+    }
+
+    /// Prepares to write this many bytes.
+    fn begin_write(&mut self, length: usize) {
+        self.request_progress.begin();
+        if length > SEND_BUFFER_BYTES && !self.has_small_send_buffer {
+            self.has_small_send_buffer = true;
+            let socket = socket2::SockRef::from(&self.stream);
+            // On a system without this option a long request may look written too early.
+            let _unsupported = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
+        }
+    }
 }
 
 impl AsyncRead for ConnectionStream {
@@ -40,7 +67,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<Result<usize>> {
-        self.request_progress.begin();
+        self.begin_write(bytes.len());
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -49,7 +76,7 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        self.request_progress.begin();
+        self.begin_write(slices.iter().map(|slice| slice.len()).sum());
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
--- a/crates/rail_upstream/src/pool.rs
+++ b/crates/rail_upstream/src/pool.rs
@@ -43,9 +43,6 @@
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3600);
 /// Fraction of the stated keep-alive time for which an idle connection is reused.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
-/// Size of a connection's send buffer in bytes. What the system takes on counts as written, so a large
-/// buffer hides that an upstream does not read.
-const SEND_BUFFER_BYTES: usize = 64 << 10;
 /// Maximum size of a connection's read buffer in bytes.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
 
@@ -273,14 +270,9 @@
         let socket = socket2::SockRef::from(&stream);
         // On a system without these options only the callers' own timeouts apply.
         let _unsupported = stream.set_nodelay(true);
-        let _unsupported = socket.set_send_buffer_size(SEND_BUFFER_BYTES);
         let _unsupported = socket.set_tcp_user_timeout(Some(self.timeouts.unacknowledged));
         let (head_limit, request_progress) = (HeadLimit::default(), RequestProgress::default());
-        let stream = ConnectionStream {
-            stream,
-            head_limit: head_limit.clone(),
-            request_progress: request_progress.clone(),
-        };
+        let stream = ConnectionStream::new(stream, head_limit.clone(), request_progress.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
