--- a/review/stage-2/engine.rs
+++ b/review/stage-2/engine.rs
@@ -13,6 +13,8 @@
     time::{Duration, Instant},
 };
 
+/// Time in which a server loads an adapter.
+const ADAPTER_LOAD: Duration = Duration::from_millis(250);
 /// Time in which a server loads its model.
 const MODEL_LOAD: Duration = Duration::from_millis(4_300);
 /// Memory of a server in tokens.
@@ -36,6 +38,27 @@
     pub event_gap: Duration,
 }
 
+/// An adapter that occupies a slot.
+struct Adapter {
+    /// Time from which it is loaded.
+    usable_from: Instant,
+    /// Requests that use it now.
+    runs: u32,
+    /// Whether it leaves as soon as no request uses it.
+    is_leaving: bool,
+}
+
+impl Adapter {
+    /// Returns an adapter that is loaded after some time.
+    fn loaded_after(time: Duration) -> Self {
+        Self { usable_from: Instant::now() + time, runs: 0, is_leaving: false }
+    }
+
+    fn is_usable(&self) -> bool {
+        !self.is_leaving && Instant::now() >= self.usable_from
+    }
+}
+
 struct State {
     seq: u64,
     /// Version of the weights of the model that the server holds, and the newest one that was named.
@@ -43,8 +66,15 @@
     newest_weights: u64,
     /// End of the load of the newest weights, if it is under way.
     loads_until: Option<Instant>,
-    /// Adapters with the number of runs that use each.
-    adapters: BTreeMap<String, u32>,
+    adapters: BTreeMap<String, Adapter>,
+}
+
+/// An order that reached a server.
+#[derive(Debug, Clone)]
+pub struct Order {
+    pub at: Instant,
+    pub holder: String,
+    pub fence: u64,
 }
 
 /// A running server.
@@ -54,12 +84,18 @@
     born: u64,
     record: Record,
     state: Mutex<State>,
+    /// All orders, in the order of their arrival.
+    orders: Mutex<Vec<Order>>,
 }
 
 impl Engine {
     /// Starts a server, without registering it.
     pub fn start(site: &Site, shape: EngineShape) -> Result<Arc<Self>, CannotRun> {
-        let adapters = shape.adapters.iter().map(|name| (name.clone(), 0)).collect();
+        let adapters = shape
+            .adapters
+            .iter()
+            .map(|name| (name.clone(), Adapter::loaded_after(Duration::ZERO)))
+            .collect();
         let engine = Arc::new(Self {
             address: site.address(shape.last, 9000),
             born: site::unix_ms(),
@@ -71,6 +107,7 @@
                 loads_until: None,
                 adapters,
             }),
+            orders: Mutex::default(),
             shape,
         });
         let serving = Arc::clone(&engine);
@@ -107,9 +144,35 @@
     }
 
     fn adapters_text(&self) -> String {
-        let names =
-            self.state().adapters.keys().map(|name| format!(r#""{name}@1""#)).collect::<Vec<_>>();
-        names.join(",")
+        let state = self.state();
+        let usable = state.adapters.iter().filter(|(_, adapter)| adapter.is_usable());
+        usable.map(|(name, _)| format!(r#""{name}@1""#)).collect::<Vec<_>>().join(",")
+    }
+
+    /// Returns the adapters that are not loaded yet, or leave once no request uses them.
+    fn coming_text(&self) -> String {
+        let (state, model) = (self.state(), &self.shape.model);
+        let other = state.adapters.iter().filter(|(_, adapter)| !adapter.is_usable());
+        other.map(|(name, _)| format!(r#""{model}/{name}@1""#)).collect::<Vec<_>>().join(",")
+    }
+
+    /// Begins to use an adapter; returns whether it is loaded.
+    fn begin_use(&self, adapter: &str) -> bool {
+        let mut state = self.state();
+        let usable = state.adapters.get_mut(adapter).filter(|adapter| adapter.is_usable());
+        usable.is_some_and(|adapter| {
+            adapter.runs += 1;
+            true
+        })
+    }
+
+    fn end_use(&self, adapter: &str) {
+        let mut state = self.state();
+        let Some(known) = state.adapters.get_mut(adapter) else { return };
+        known.runs = known.runs.saturating_sub(1);
+        if known.runs == 0 && known.is_leaving {
+            state.adapters.remove(adapter);
+        }
     }
 
     fn serve(&self, mut stream: TcpStream) {
@@ -132,23 +195,38 @@
 
     fn report(&self) -> Vec<u8> {
         let (model, born) = (&self.shape.model, self.born);
-        let adapters = self.adapters_text();
+        let (adapters, coming) = (self.adapters_text(), self.coming_text());
         let State { seq, weights, loads_until, .. } = *self.state();
         let is_busy = loads_until.is_some();
         let body = format!(
             r#"{{"Stage":"both","Models":[{{"Name":"{model}","Version":{weights},"Adapters":[{adapters}]}}],
-            "Busy":{is_busy},"Seq":{seq},"QueueDepth":0,"Running":0,"KvUsed":0,"KvTotal":{MEMORY_TOKENS},"Handles":0,
+            "Coming":[{coming}],"Busy":{is_busy},"Seq":{seq},"QueueDepth":0,"Running":0,"KvUsed":0,"KvTotal":{MEMORY_TOKENS},"Handles":0,
             "born":{born}}}"#
         );
         http::response_bytes(200, &[("content-type", "application/json")], body.as_bytes())
     }
 
+    /// Returns the orders that reached the server so far.
+    pub fn orders(&self) -> Vec<Order> {
+        self.orders.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     fn order(&self, request: &Message) -> Vec<u8> {
         let text = request.text();
         let field = |name: &str| json_field(&text, name);
         let expected = field("Expect").and_then(|value| value.parse::<u64>().ok());
         let op = field("Op").unwrap_or_default();
         let adapter = field("Adapter");
+        let holder = field("Holder").unwrap_or_default();
+        let fence = field("Fence").and_then(|value| value.parse().ok()).unwrap_or(0);
+        let name = adapter.as_deref().unwrap_or("its model");
+        self.record.line(&format!(
+            "server {} gets from {holder}, fence {fence}: {op} {name}",
+            self.shape.id
+        ));
+        let mut orders = self.orders.lock().unwrap_or_else(PoisonError::into_inner);
+        orders.push(Order { at: Instant::now(), holder, fence });
+        drop(orders);
         let mut state = self.state();
         let status = if request.header("x-expect-instance") != self.shape.id {
             421
@@ -173,14 +251,22 @@
                             self.shape.id, self.shape.adapter_slots
                         ));
                     }
-                    state.adapters.insert(adapter, 0);
+                    state.adapters.insert(adapter, Adapter::loaded_after(ADAPTER_LOAD));
                     state.seq += 1;
                     202
                 }
                 ("unload", Some(adapter)) => {
-                    state.adapters.remove(&adapter);
                     state.seq += 1;
-                    200
+                    match state.adapters.get_mut(&adapter) {
+                        Some(known) if known.runs > 0 => {
+                            known.is_leaving = true;
+                            202
+                        }
+                        _ => {
+                            state.adapters.remove(&adapter);
+                            200
+                        }
+                    }
                 }
                 _ => 200,
             }
@@ -191,7 +277,7 @@
 
     /// Runs a request; returns whether its answer was written to the end.
     fn run(&self, stream: &mut TcpStream, request: &Message) -> bool {
-        let EngineShape { id: own, software, events, event_gap, .. } = &self.shape;
+        let own = &self.shape.id;
         let id = request.header("x-request-id");
         if request.header("x-expect-instance") != own {
             return stream
@@ -217,10 +303,6 @@
             return stream.write_all(&http::response_bytes(421, &headers, b"")).is_ok();
         }
         let adapter = model.split_once('/').map(|(_, adapter)| adapter.to_owned());
-        if adapter.as_ref().is_some_and(|adapter| !self.state().adapters.contains_key(adapter)) {
-            let headers = [("x-request-id", id), ("x-not-executed", "1")];
-            return stream.write_all(&http::response_bytes(421, &headers, b"")).is_ok();
-        }
         let usage = request.header("x-token-usage").split(',');
         let tokens: u64 = usage.filter_map(|count| count.trim().parse::<u64>().ok()).sum();
         if tokens > MEMORY_TOKENS {
@@ -229,6 +311,19 @@
             let headers = [("x-request-id", id), ("x-not-executed", "1")];
             return stream.write_all(&http::response_bytes(503, &headers, b"")).is_ok();
         }
+        if adapter.as_ref().is_some_and(|adapter| !self.begin_use(adapter)) {
+            let headers = [("x-request-id", id), ("x-not-executed", "1")];
+            return stream.write_all(&http::response_bytes(421, &headers, b"")).is_ok();
+        }
+        let is_written = self.write_events(stream, request);
+        adapter.iter().for_each(|adapter| self.end_use(adapter));
+        is_written
+    }
+
+    /// Writes the answer to a request that runs; returns whether it was written to the end.
+    fn write_events(&self, stream: &mut TcpStream, request: &Message) -> bool {
+        let EngineShape { id: own, software, events, event_gap, .. } = &self.shape;
+        let id = request.header("x-request-id");
         let first = request.header("last-event-id").parse::<u64>().unwrap_or(0) + 1;
         self.record.line(&format!("server {own} ({software}) runs {id} from event {first}"));
         let head = format!(
--- a/review/stage-2/main.rs
+++ b/review/stage-2/main.rs
@@ -8,6 +8,7 @@
 mod case_return;
 mod case_slow_reader;
 mod case_take_up;
+mod case_two_holders;
 mod engine;
 mod feed;
 mod http;
@@ -36,6 +37,7 @@
         "named-weights" => case_added_route::run_weights,
         "return" => case_return::run,
         "slow-reader" => case_slow_reader::run,
+        "two-holders" => case_two_holders::run,
         "take-up" => case_take_up::run,
         _ => {
             eprintln!("no case {case}");
