Streams are told to two backups while a service has one version

Cause: a host told others at which version its streams began only once it had seen two versions itself. If it stood still, was killed or was cut off before, nobody else knew.

Now each host tells two other hosts in calm, those of other zones first, at most each 100 ms; once a second version serves, every host passes on to the keepers what it knows. For a host that doesn't reply the next one is told. The knowledge is there before the version joins, so it no longer matters what happens to the host that began the stream.

--- a/crates/rail_origin/src/lib.rs
+++ b/crates/rail_origin/src/lib.rs
@@ -7,7 +7,9 @@
 //! * [`SoftwarePin`] says which versions may answer a request.
 //! * [`OriginTable`] remembers at which version streams began.
 //! * [`SeenVersions`] remembers which versions served lately. While that is one, every stream began
-//!   at it, and nothing has to be told.
+//!   at it.
+//! * [`rank_backups`] and [`rank_keepers`] say which hosts are told of a stream, so that its origin
+//!   is known when the host that began it is not there any more.
 //! * [`OriginJournal`] is what a keeper stores of them.
 //! * [`OriginKnowledge`] is what one host knows about a stream; hosts combine it, and [`decide`]
 //!   says where the stream goes on.
@@ -23,7 +25,7 @@
 pub mod prelude {
     pub use crate::{
         journal::{OriginJournal, Slot, StoredOrigins, StreamsByVersion},
-        keepers::rank_keepers,
+        keepers::{LiveHost, rank_backups, rank_keepers},
         knowledge::{
             AskedHosts, OriginKnowledge, OriginSource, OriginUnknown, decide, needs_store,
         },
--- a/crates/rail_origin/tests/fleet.rs
+++ b/crates/rail_origin/tests/fleet.rs
@@ -2,8 +2,8 @@
 //! so at the version that began it, and enough streams go on.
 
 use rail_origin::{
-    AskedHosts, OriginJournal, OriginKnowledge, OriginTable, RETENTION, SeenVersions, Slot,
-    StoredOrigins, StreamKey, StreamsByVersion, decide, rank_keepers,
+    AskedHosts, LiveHost, OriginJournal, OriginKnowledge, OriginTable, RETENTION, SeenVersions,
+    Slot, StoredOrigins, StreamKey, StreamsByVersion, decide, rank_backups, rank_keepers,
 };
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -18,8 +18,23 @@
 const WRITE_STEPS: u64 = 5;
 /// Steps in which a killed host is back.
 const DOWN_STEPS: u64 = 50;
+/// Availability zones, over which the hosts are spread in turn.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Other hosts that are told of each stream.
+const TOLD_HOSTS: usize = 2;
+/// Hosts that are tried until so many have been told.
+const MAX_TRIED_HOSTS: usize = 4;
+
+fn number_of(name: &str) -> usize {
+    name.parse().expect("a number")
+}
+
+fn zone_of(host: usize) -> &'static str {
+    ZONES[host % ZONES.len()]
+}
 
 /// Repeatable random numbers.
+#[derive(Clone)]
 struct Random(u64);
 
 impl Random {
@@ -30,7 +45,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Host {
     table: OriginTable,
     seen: SeenVersions,
@@ -42,6 +57,7 @@
     is_out_of_step: bool,
 }
 
+#[derive(Clone)]
 struct Fleet {
     hosts: Vec<Host>,
     store: BTreeMap<String, StoredOrigins>,
@@ -84,11 +100,21 @@
         STEP * (self.step - self.hosts[host].up_since) as u32
     }
 
+    /// Returns the names of the hosts that are up.
+    fn live_names(&self) -> Vec<String> {
+        let live = (0..self.hosts.len()).filter(|host| self.is_up(*host));
+        live.map(|host| host.to_string()).collect()
+    }
+
     fn keepers(&self) -> Vec<usize> {
-        let names: Vec<String> = (0..self.hosts.len()).map(|host| host.to_string()).collect();
-        let live = names.iter().map(String::as_str);
-        let live = live.filter(|name| self.is_up(name.parse().expect("a number")));
-        rank_keepers(SERVICE, live).map(|name| name.parse().expect("a number")).collect()
+        let names = self.live_names();
+        rank_keepers(SERVICE, names.iter().map(String::as_str)).map(number_of).collect()
+    }
+
+    fn backups(&self, host: usize) -> Vec<usize> {
+        let names = self.live_names();
+        let live = names.iter().map(|name| LiveHost { name, zone: zone_of(number_of(name)) });
+        rank_backups(&host.to_string(), zone_of(host), live).map(number_of).collect()
     }
 
     /// Returns the hosts that are up and hear of each other and of the store.
@@ -112,8 +138,8 @@
         let up = self.in_step();
         for host in &up {
             let uptime = self.uptime(*host);
-            for version in &self.versions {
-                self.hosts[*host].seen.observe(SERVICE, version, uptime);
+            for version in self.versions.clone() {
+                self.observe(*host, version);
             }
             self.hosts[*host].seen.prune(uptime);
         }
@@ -136,25 +162,53 @@
         let (stream, uptime) = (StreamKey::of(&request), self.uptime(host));
         self.hosts[host].table.record(stream, version, uptime);
         self.running.push((request, host, version, STREAM_STEPS));
-        if !self.hosts[host].seen.is_mixed(SERVICE) {
+        self.tell(host, stream, version);
+    }
+
+    /// A host sees a version; from the second one on, it tells of earlier streams too.
+    fn observe(&mut self, host: usize, version: &str) {
+        let uptime = self.uptime(host);
+        let seen = &mut self.hosts[host].seen;
+        let was_mixed = seen.is_mixed(SERVICE);
+        seen.observe(SERVICE, version, uptime);
+        if was_mixed || !seen.is_mixed(SERVICE) {
             return;
         }
-        let slot = Slot::at(self.time_of_day());
-        for (rank, keeper) in self.keepers().into_iter().take(2).enumerate() {
-            if self.hosts[keeper].is_out_of_step {
-                continue;
-            }
-            let uptime = self.uptime(keeper);
-            let keeper = &mut self.hosts[keeper];
-            keeper.seen.observe(SERVICE, version, uptime);
-            keeper.table.record(stream, version, uptime);
-            if rank == 0 {
-                let streams = StreamsByVersion::from([(version.to_owned(), vec![stream])]);
-                keeper.journal.add(slot, SERVICE, streams);
+        let table = self.hosts[host].table.clone();
+        for (stream, version) in table.iter() {
+            self.tell(host, stream, version);
+        }
+    }
+
+    /// A host tells others of a stream: the keepers if the service has several versions, else its
+    /// backups.
+    fn tell(&mut self, host: usize, stream: StreamKey, version: &str) {
+        let is_mixed = self.hosts[host].seen.is_mixed(SERVICE);
+        if is_mixed {
+            self.store(host, stream, version);
+        }
+        let told = if is_mixed { self.keepers() } else { self.backups(host) };
+        let told = told.into_iter().filter(|other| *other != host).take(MAX_TRIED_HOSTS);
+        let in_step: Vec<usize> = told.filter(|other| !self.hosts[*other].is_out_of_step).collect();
+        for other in in_step.into_iter().take(TOLD_HOSTS) {
+            self.observe(other, version);
+            let uptime = self.uptime(other);
+            self.hosts[other].table.record(stream, version, uptime);
+            if self.hosts[other].seen.is_mixed(SERVICE) {
+                self.store(other, stream, version);
             }
         }
     }
 
+    /// The first keeper queues a stream for the store.
+    fn store(&mut self, host: usize, stream: StreamKey, version: &str) {
+        if self.keepers().first() == Some(&host) {
+            let streams = StreamsByVersion::from([(version.to_owned(), vec![stream])]);
+            let slot = Slot::at(self.time_of_day());
+            self.hosts[host].journal.add(slot, SERVICE, streams);
+        }
+    }
+
     fn write(&mut self) {
         let Some(first) = self.keepers().first().copied() else { return };
         if self.hosts[first].is_out_of_step {
@@ -315,6 +369,48 @@
     }
 }
 
+/// Guards against streams that nobody can take up since only the host that began them knew their
+/// version, and it is cut off, stands still or ends when a second version joins. The same happens to
+/// the first keeper, or to the first backup of that host.
+#[test]
+fn streams_of_a_lost_host_go_on_when_a_version_joins() {
+    for hosts in [5, 7, 74] {
+        let mut fleet = Fleet::new(hosts, 1);
+        fleet.advance_for(RETENTION + Duration::from_secs(10));
+        for lost in 0..5 {
+            let keeper = fleet.keepers().into_iter().find(|host| *host != lost);
+            for also_lost in [keeper.expect("a keeper"), fleet.backups(lost)[0]] {
+                take_up_streams_of_lost(&fleet, [lost, also_lost], false);
+                take_up_streams_of_lost(&fleet, [lost, also_lost], true);
+            }
+        }
+    }
+}
+
+/// Two hosts are killed or cut off, a second version joins, and the streams of the first one are
+/// taken up at each other host.
+fn take_up_streams_of_lost(fleet: &Fleet, lost: [usize; 2], is_killed: bool) {
+    let mut fleet = fleet.clone();
+    let began = fleet.running.clone().into_iter().filter(|(_, host, _, _)| *host == lost[0]);
+    if is_killed {
+        fleet.kill(&lost);
+    } else {
+        for host in lost {
+            fleet.hosts[host].is_out_of_step = true;
+        }
+    }
+    fleet.versions = vec!["v1", "v1.1"];
+    fleet.advance_for(Duration::from_millis(500));
+    let mut taken_up = 0;
+    for (request, _, version, _) in began {
+        for host in fleet.in_step() {
+            fleet.take_up_at(host, &request, version);
+            taken_up += 1;
+        }
+    }
+    assert_eq!((fleet.joined, fleet.resumed), (0, taken_up), "{lost:?}, killed: {is_killed}");
+}
+
 /// Guards against streams that go on at another version while the store is away.
 #[test]
 fn no_stream_is_joined_while_the_store_is_away() {
--- a/crates/tarragon_node/src/stream_origins.rs
+++ b/crates/tarragon_node/src/stream_origins.rs
@@ -1,8 +1,9 @@
 //! Software versions at which streams began, so that a caller can resume one at any host.
 //!
-//! Each host remembers the streams that it began. While a service has several versions, it tells
-//! the two hosts that keep the origins of the service's streams, and a host that does not know a
-//! stream asks them, then the store. While a service has had one version only, nothing is told.
+//! Each host remembers the streams that it began and tells two others of them. While a service has
+//! one version, these are backups of its own. Once a second one serves, every host tells all that
+//! it knows to the two hosts that keep the origins of the service's streams, and a host that does
+//! not know a stream asks them, then the store.
 
 use crate::{
     node::{Node, SharedNode},
@@ -11,8 +12,8 @@
 };
 use futures_util::{StreamExt, stream::FuturesUnordered};
 use rail_origin::{
-    AskedHosts, OriginKnowledge, OriginSource, OriginTable, OriginUnknown, SeenVersions,
-    SoftwarePin, StreamKey, StreamsByVersion, rank_keepers,
+    AskedHosts, LiveHost, OriginKnowledge, OriginSource, OriginTable, OriginUnknown, SeenVersions,
+    SoftwarePin, StreamKey, StreamsByVersion, rank_backups, rank_keepers,
 };
 use rail_peer::{PeerReply, PeerRequest, StreamOriginRequest, StreamStarts};
 use rail_route::{ServiceId, SoftwareVersion, Upstream};
@@ -26,13 +27,17 @@
 };
 use tokio::{sync::Notify, time::timeout};
 
-/// Hosts that are told of each stream.
-const KEEPERS: usize = 2;
+/// Other hosts that are told of each stream.
+const TOLD_HOSTS: usize = 2;
+/// Hosts that are tried until so many have replied.
+const MAX_TRIED_HOSTS: usize = 4;
 /// Hosts that are asked; a host that joins may keep a place in the order without knowing earlier
 /// streams.
 const ASKED_HOSTS: usize = 3;
-/// Shortest time between two messages of new streams.
-const TELL_INTERVAL: Duration = Duration::from_millis(10);
+/// Shortest time between two messages of new streams while a service has several versions.
+const MIXED_TELL_INTERVAL: Duration = Duration::from_millis(10);
+/// The same while each service has one version.
+const CALM_TELL_INTERVAL: Duration = Duration::from_millis(100);
 /// Time in which a host must reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(120);
 /// Time after which a stream may be found, if a keeper or the store did not answer.
@@ -43,7 +48,7 @@
 pub struct StreamOrigins {
     tables: RefCell<BTreeMap<ServiceId, OriginTable>>,
     seen: RefCell<SeenVersions>,
-    /// Streams that the keepers have yet to learn.
+    /// Streams that other hosts have yet to learn.
     to_tell: RefCell<BTreeMap<ServiceId, StreamsByVersion>>,
     is_telling_due: Notify,
     /// Streams in the store.
@@ -72,6 +77,11 @@
         self.is_telling_due.notify_one();
     }
 
+    /// Returns whether streams of a service may have begun at several versions lately.
+    fn is_mixed(&self, service: &str) -> bool {
+        self.seen.borrow().is_mixed(service)
+    }
+
     /// Records that a version of a service serves. From the second one on, the keepers have to know
     /// streams that began before it too.
     fn observe(&self, service: &str, software: &str, now: Duration) {
@@ -98,10 +108,10 @@
     VersionGone,
 }
 
-/// Spawns the tasks that tell keepers of new streams and store them.
+/// Spawns the tasks that tell other hosts of new streams and store them.
 pub fn spawn(node: &SharedNode) {
     actix_rt::spawn(stored_origins::write_changed(Rc::clone(node)));
-    actix_rt::spawn(tell_keepers(Rc::clone(node)));
+    actix_rt::spawn(tell_hosts(Rc::clone(node)));
 }
 
 /// Records the software version of a registered upstream.
@@ -131,9 +141,7 @@
     let (origins, service) = (&node.stream_origins, &request.service);
     let stream = StreamKey::of(&request.parsed_headers.request_id);
     origins.record(service, &upstream.software, stream, node.now());
-    if origins.seen.borrow().is_mixed(service) {
-        origins.queue(service, &upstream.software, [stream]);
-    }
+    origins.queue(service, &upstream.software, [stream]);
 }
 
 /// Finds the software version at which a stream began that the caller resumes, and restricts the
@@ -218,10 +226,7 @@
 
 /// Asks the keepers of a service's streams at once, until one knows the stream.
 async fn ask_keepers(node: &SharedNode, service: &str, stream: StreamKey) -> Answers {
-    let others = keepers(node, service).into_iter().filter_map(|keeper| match keeper {
-        Keeper::Other(peer) => Some(peer),
-        Keeper::ThisHost => None,
-    });
+    let others = keepers(node, service).into_iter().filter_map(Keeper::other);
     let question = StreamOriginRequest { service: service.to_owned(), stream };
     let mut questions: FuturesUnordered<_> =
         others.take(ASKED_HOSTS).map(|peer| ask(node, peer, question.clone())).collect();
@@ -268,6 +273,16 @@
     Other(SocketAddr),
 }
 
+impl Keeper {
+    /// Returns the address of a host other than this one.
+    fn other(self) -> Option<SocketAddr> {
+        match self {
+            Self::ThisHost => None,
+            Self::Other(peer) => Some(peer),
+        }
+    }
+}
+
 /// Returns the live hosts in the order in which they keep the origins of a service's streams.
 fn keepers(node: &Node, service: &str) -> Vec<Keeper> {
     let hosts = node.hosts.borrow();
@@ -286,7 +301,17 @@
     node.stream_origins.knowledge(&question.service, Some(question.stream), node)
 }
 
-/// Records streams that another host began, and stores them if this host is the first keeper.
+/// Returns the other hosts that back up what this host knows of streams, most preferred first.
+fn backups(node: &Node) -> Vec<SocketAddr> {
+    let hosts = node.hosts.borrow();
+    let live = hosts.live(node.now());
+    let live = live.map(|heartbeat| LiveHost { name: &heartbeat.host, zone: &heartbeat.zone });
+    let ranked = rank_backups(&node.settings.host, &node.settings.zone, live);
+    ranked.filter_map(|host| Some(hosts.find(host)?.peer_address)).collect()
+}
+
+/// Records streams that another host began. If their service has several versions and this host is
+/// its first keeper, stores them too.
 pub fn record_told(node: &Node, starts: StreamStarts) {
     let (origins, now) = (&node.stream_origins, node.now());
     let StreamStarts { service, streams } = starts;
@@ -296,31 +321,55 @@
             origins.record(&service, version, *stream, now);
         }
     }
-    if keepers(node, &service).first() == Some(&Keeper::ThisHost) {
+    if origins.is_mixed(&service) && keepers(node, &service).first() == Some(&Keeper::ThisHost) {
         origins.store.add(&service, streams);
     }
 }
 
-/// Tells the keepers of new streams, at once after a pause and at a bounded rate.
-async fn tell_keepers(node: SharedNode) {
+/// Tells other hosts of new streams, at once after a pause and at a bounded rate.
+async fn tell_hosts(node: SharedNode) {
     let origins = &node.stream_origins;
     loop {
         origins.is_telling_due.notified().await;
         let batches = std::mem::take(&mut *origins.to_tell.borrow_mut());
+        let has_mixed = batches.keys().any(|service| origins.is_mixed(service));
         for (service, streams) in batches {
-            let keepers = keepers(&node, &service);
-            if keepers.first() == Some(&Keeper::ThisHost) {
-                origins.store.add(&service, streams.clone());
-            }
-            for keeper in keepers.into_iter().take(KEEPERS) {
-                let Keeper::Other(peer) = keeper else { continue };
-                let starts = StreamStarts { service: service.clone(), streams: streams.clone() };
-                let node = Rc::clone(&node);
-                actix_rt::spawn(async move {
-                    call(&node, peer, PeerRequest::StreamStarts(starts)).await
-                });
-            }
+            tell(&node, &service, &streams);
+        }
+        let pause = if has_mixed { MIXED_TELL_INTERVAL } else { CALM_TELL_INTERVAL };
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Tells the keepers of streams of a service that has several versions, else the backups.
+fn tell(node: &SharedNode, service: &str, streams: &StreamsByVersion) {
+    let told: Vec<SocketAddr> = if node.stream_origins.is_mixed(service) {
+        let keepers = keepers(node, service);
+        if keepers.first() == Some(&Keeper::ThisHost) {
+            node.stream_origins.store.add(service, streams.clone());
+        }
+        keepers.into_iter().filter_map(Keeper::other).collect()
+    } else {
+        backups(node)
+    };
+    let untried = Rc::new(RefCell::new(told.into_iter().take(MAX_TRIED_HOSTS)));
+    for _ in 0..TOLD_HOSTS {
+        let starts = StreamStarts { service: service.to_owned(), streams: streams.clone() };
+        actix_rt::spawn(tell_one(Rc::clone(node), Rc::clone(&untried), starts));
+    }
+}
+
+/// Tells the first host that replies of those that have not been tried.
+async fn tell_one(
+    node: SharedNode,
+    untried: Rc<RefCell<impl Iterator<Item = SocketAddr>>>,
+    starts: StreamStarts,
+) {
+    let request = PeerRequest::StreamStarts(starts);
+    loop {
+        let Some(peer) = untried.borrow_mut().next() else { return };
+        if call(&node, peer, request.clone()).await.is_some() {
+            return;
         }
-        tokio::time::sleep(TELL_INTERVAL).await;
     }
 }
