A response of the store is not used before its era is recorded

Cause: LeaseKeeper::renew acknowledged the renewal, which the copy accepts, and only then was the era of its response recorded. The lapsed lease looked valid, so the host kept the engine.

Now the store's client tells of a new era before the call whose response names it returns, so nothing can use the response first: the host is asked what it owns while its lease is still lapsed. Related: an observed end of an epoch no longer counts for what was claimed in a later era, as the store may have lost that end.

No message and no store call is added.

--- a/crates/rail_lease/src/host_lease.rs
+++ b/crates/rail_lease/src/host_lease.rs
@@ -7,7 +7,7 @@
 //! The holder renews by conditional updates too, so exactly one of the two succeeds. All times are
 //! of a clock that includes the time for which the machine is suspended.
 
-use rail_revision::Revision;
+use rail_revision::{Era, Revision};
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, time::Duration};
 
@@ -215,9 +215,12 @@
         Some((record, observed.revision))
     }
 
-    /// Reports whether an epoch of a host was revoked or replaced; it never becomes valid again.
-    pub fn has_ended(&self, host: &str, epoch: u64) -> bool {
-        self.leases.get(host).is_some_and(|observed| {
+    /// Reports whether an epoch of a host was revoked or replaced, so that what the host claimed in
+    /// an era of the store under that epoch is free. An end that was observed in an earlier era says
+    /// nothing: the store may have lost it, and the host goes on in the same epoch.
+    pub fn has_ended(&self, host: &str, epoch: u64, claimed_in: Era) -> bool {
+        let observed = self.leases.get(host);
+        observed.filter(|observed| observed.revision.era >= claimed_in).is_some_and(|observed| {
             observed.record.epoch > epoch
                 || (observed.record.epoch == epoch && observed.record.revoked)
         })
--- a/crates/rail_lease/tests/host_lease.rs
+++ b/crates/rail_lease/tests/host_lease.rs
@@ -219,3 +219,17 @@
     renew(&mut lease, &mut store, ms(30_000));
     assert_eq!(lease.epoch(), Some(4));
 }
+
+/// Guards against two holders: a host that lost its lease goes on in the same epoch after the store
+/// has lost the revocation, and another one still counts that epoch as ended (review/9).
+#[test]
+fn a_lost_revocation_ends_what_was_claimed_after_the_return() {
+    let mut observer = LeaseObserver::new(TTL, ORDER_DELAY);
+    let record = HostLeaseRecord { epoch: 1, process: 1, renewals: 3, revoked: false };
+    let revoked = HostLeaseRecord { revoked: true, ..record.clone() };
+    observer.observe("h", revoked, Revision::new(0, 9), ms(0));
+    assert!(observer.has_ended("h", 1, 0), "what it claimed before the return is free");
+    assert!(!observer.has_ended("h", 1, 1), "what it claimed after the return is its own");
+    observer.observe("h", record, Revision::new(1, 4), ms(1_000));
+    assert!(!observer.has_ended("h", 1, 0) && !observer.has_ended("h", 1, 1));
+}
--- a/crates/tarragon_node/src/lease.rs
+++ b/crates/tarragon_node/src/lease.rs
@@ -151,16 +151,16 @@
             return;
         }
         let node = Rc::clone(&self.node);
-        let mut silent_owners: Vec<(String, u64)> = {
+        let mut silent_owners: Vec<(String, u64, Era)> = {
             let (owners, hosts) = (node.owners.borrow(), node.hosts.borrow());
             let records = owners.values().map(|owner| &owner.record);
             let silent_owners = records.filter(|record| !hosts.is_live(&record.host, node.now()));
-            silent_owners.map(|record| (record.host.clone(), record.epoch)).collect()
+            silent_owners.map(|record| (record.host.clone(), record.epoch, record.era)).collect()
         };
         silent_owners.sort_unstable();
         silent_owners.dedup();
-        for (host, epoch) in silent_owners {
-            if host == node.settings.host || self.observer.has_ended(&host, epoch) {
+        for (host, epoch, claimed_in) in silent_owners {
+            if host == node.settings.host || self.observer.has_ended(&host, epoch, claimed_in) {
                 continue;
             }
             let read_result =
@@ -230,7 +230,7 @@
         if record.host == self.node.settings.host {
             return record.epoch < own_epoch || record.era < era;
         }
-        self.observer.has_ended(&record.host, record.epoch)
+        self.observer.has_ended(&record.host, record.epoch, record.era)
     }
 
     /// Records what owner records say about earlier epochs of this host and earlier eras.
--- a/crates/tarragon_node/src/run.rs
+++ b/crates/tarragon_node/src/run.rs
@@ -26,6 +26,7 @@
     send_permits::{self, SendPermits},
     shortage::ShortageReports,
     store_health::StoreHealth,
+    store_return,
     stream_origins::{self, StreamOrigins},
     upstream_ends::UpstreamEnds,
 };
@@ -98,6 +99,7 @@
     if flags.metrics_port != 0 {
         entry::spawn(&node, SocketAddr::new(node.settings.ip, flags.metrics_port))?;
     }
+    store_return::follow_eras(&node);
     record_sources::spawn(&node);
     refresh::spawn(&node);
     lease::spawn(&node);
--- a/crates/tarragon_node/src/store_return.rs
+++ b/crates/tarragon_node/src/store_return.rs
@@ -5,7 +5,7 @@
 use rail_runtime::time_since_boot;
 use rail_site::{Freshness, StoreError, StoredObject};
 use serde::{Deserialize, Serialize};
-use std::{net::IpAddr, time::Duration};
+use std::{net::IpAddr, rc::Rc, time::Duration};
 
 /// Kind and name of the record that confirms a return.
 const RETURN_KIND: &str = "rail-returns";
@@ -37,6 +37,18 @@
     boot_id: String,
 }
 
+/// Records each new era before the response of the store that names it is used: a lease that has
+/// lapsed must not look valid by a renewal that the returned store accepts, since that store may
+/// have lost its revocation.
+pub fn follow_eras(node: &SharedNode) {
+    let weak_node = Rc::downgrade(node);
+    node.store.set_era_listener(move |era| {
+        if let Some(node) = weak_node.upgrade() {
+            record_era(&node, era);
+        }
+    });
+}
+
 /// Records the era of a record or of a response of the store. When the store has returned from an
 /// older copy, watches start again, and engines that this host does not keep must be claimed anew.
 pub fn record_era(node: &SharedNode, era: Era) {
