What a grant charges for a prompt ends with its request

Cause: the owner plans the time in which an engine reads a granted prompt. PromptPacer::end dropped the request and kept its reading, so the plan went on for a prompt that nobody read. Evidence: Retry-After counts down to one point in time, 62.5 s after the grant, which is the prompt at 16,000 tokens a second; the owner alone shows the same.

Now a request that ends, is rejected or is left ends its reading too; prompts behind it move up, also in what the learned speed is computed from. Two more charges of the same grant are given back: the workspace's share of what was not read, and parts of a rejected prompt that counted as kept.

--- a/crates/rail_place/src/kept.rs
+++ b/crates/rail_place/src/kept.rs
@@ -50,6 +50,17 @@
         }
     }
 
+    /// Forgets leading parts of a prompt that the engine was to read from a time on and has not read.
+    /// What other prompts have used since stays.
+    pub fn withdraw(&mut self, path: &str, parts: &[SharedPart], recorded_at: Duration) {
+        let Some(used_at) = self.used_at.get_mut(path) else { return };
+        for prefix in prefixes(parts) {
+            if used_at.get(&prefix) == Some(&recorded_at) {
+                used_at.remove(&prefix);
+            }
+        }
+    }
+
     /// Forgets what was read for a model or adapter.
     pub fn forget(&mut self, path: &str) {
         self.used_at.remove(path);
--- a/crates/rail_place/src/owner/fairness.rs
+++ b/crates/rail_place/src/owner/fairness.rs
@@ -38,9 +38,7 @@
 
 impl GrantedWork {
     fn tokens_at(&self, now: Duration) -> f64 {
-        let half_lives =
-            now.saturating_sub(self.updated_at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-        self.tokens * (-half_lives).exp2()
+        decayed(self.tokens, self.updated_at, now)
     }
 
     fn add(&mut self, tokens: u32, now: Duration) {
@@ -49,6 +47,12 @@
     }
 }
 
+/// Returns how much work of an earlier time still counts.
+fn decayed(tokens: f64, since: Duration, now: Duration) -> f64 {
+    let half_lives = now.saturating_sub(since).as_secs_f64() / HALF_LIFE.as_secs_f64();
+    tokens * (-half_lives).exp2()
+}
+
 /// Work that was granted to all workspaces lately.
 #[derive(Debug, Default)]
 pub(super) struct WorkShares {
@@ -84,6 +88,20 @@
         }
     }
 
+    /// Takes back work that was granted at a time and not done.
+    pub(super) fn give_back(
+        &mut self,
+        share: WorkShare,
+        tokens: u32,
+        granted_at: Duration,
+        now: Duration,
+    ) {
+        if let Some(work) = self.granted.get_mut(&share.workspace) {
+            let left = work.tokens_at(now) - decayed(tokens.into(), granted_at, now);
+            (work.tokens, work.updated_at) = (left.max(0.0), now);
+        }
+    }
+
     /// Returns the work of all workspaces.
     pub(super) fn total(&self, now: Duration) -> TotalWork {
         let works = self.granted.values();
--- a/crates/rail_place/src/owner/grants.rs
+++ b/crates/rail_place/src/owner/grants.rs
@@ -5,9 +5,9 @@
     adapter::LoadState,
     estimate::MIN_RETRY_AFTER,
     fairness::{TotalWork, WorkShare},
-    message::{OwnerCommand, StartId, StartRequest},
+    message::{AdapterPath, OwnerCommand, StartId, StartRequest},
 };
-use crate::pace::Prompt;
+use crate::{kept::SharedPart, pace::Prompt};
 use std::time::Duration;
 
 /// Time by which a request of one priority counts as less pressing than one of the priority before.
@@ -33,7 +33,35 @@
     position: GrantPosition,
 }
 
+/// A granted request that has not ended, with what its grant has charged.
+#[derive(Debug, Clone)]
+pub(super) struct GrantedRequest {
+    /// The adapter that it uses; `None` after the engine has restarted.
+    pub(super) adapter: Option<AdapterPath>,
+    share: Option<WorkShare>,
+    kept_path: AdapterPath,
+    shared_parts: Vec<SharedPart>,
+    granted_at: Duration,
+}
+
 impl EngineOwner {
+    /// Gives back what the grant of a request has charged and the engine has not done.
+    pub(super) fn give_back(
+        &mut self,
+        granted: &GrantedRequest,
+        unread_tokens: u32,
+        may_have_run: bool,
+        now: Duration,
+    ) {
+        let GrantedRequest { kept_path, shared_parts, granted_at, .. } = granted;
+        if let Some(share) = granted.share {
+            self.work_shares.give_back(share, unread_tokens, *granted_at, now);
+        }
+        if !may_have_run {
+            self.kept.withdraw(kept_path, shared_parts, *granted_at);
+        }
+    }
+
     /// Estimates the time until the engine reads the prompt of a new request: it reads those of the
     /// granted requests and of waiting ones that go ahead of it before.
     pub fn backlog(&self, request: &StartRequest, now: Duration) -> Duration {
@@ -170,15 +198,20 @@
                 return;
             }
             let version = path.as_deref().and_then(|path| self.use_adapter(path, now));
-            if let Some(WaitingRequest { request, share, .. }) = self.waiting.remove(&id) {
-                if let Some(share) = share {
-                    self.work_shares.record_grant(share, prompt.tokens, now);
-                }
-                self.kept.record(&request.kept_path(), &request.shared_parts, now);
+            let Some(WaitingRequest { request, share, .. }) = self.waiting.remove(&id) else {
+                continue;
+            };
+            if let Some(share) = share {
+                self.work_shares.record_grant(share, prompt.tokens, now);
             }
+            let kept_path = request.kept_path();
+            self.kept.record(&kept_path, &request.shared_parts, now);
             self.pacer.start(id, prompt, now);
             self.slot_times.start(id, now);
-            self.granted.insert(id, path);
+            let shared_parts = request.shared_parts;
+            let granted =
+                GrantedRequest { adapter: path, share, kept_path, shared_parts, granted_at: now };
+            self.granted.insert(id, granted);
             commands.push(OwnerCommand::Grant(id, version));
         }
     }
--- a/crates/rail_place/src/owner/message.rs
+++ b/crates/rail_place/src/owner/message.rs
@@ -76,6 +76,16 @@
     Absent,
 }
 
+impl GrantOutcome {
+    /// Returns whether the engine has run the request, or may have.
+    pub fn may_have_run(self) -> bool {
+        match self {
+            Self::Ended | Self::Abandoned => true,
+            Self::NotReady | Self::Absent => false,
+        }
+    }
+}
+
 /// An order to the engine to load or unload a model or an adapter.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OrderKind {
--- a/crates/rail_place/src/owner/mod.rs
+++ b/crates/rail_place/src/owner/mod.rs
@@ -29,6 +29,7 @@
 };
 use adapter::{AdapterEntry, LoadState, Occupancy};
 use fairness::WorkShares;
+use grants::GrantedRequest;
 use late_copies::LateCopies;
 use std::{
     collections::{BTreeMap, HashMap},
@@ -73,7 +74,7 @@
     adapters: HashMap<AdapterPath, AdapterEntry>,
     /// Adapters that should be in the engine's host memory, with the time of their last order.
     recent: HashMap<AdapterPath, Duration>,
-    granted: HashMap<StartId, Option<AdapterPath>>,
+    granted: HashMap<StartId, GrantedRequest>,
     pacer: PromptPacer,
     slot_times: SlotTimes,
     /// Parts of prompts that the engine need not read again.
@@ -236,10 +237,15 @@
         now: Duration,
     ) {
         self.waiting.remove(&id);
+        let may_have_run = outcome.may_have_run();
+        let unread_tokens = self.pacer.stop_reading(id, may_have_run, now);
         self.pacer.end(id, timing);
-        let has_run = matches!(outcome, GrantOutcome::Ended | GrantOutcome::Abandoned);
-        self.slot_times.end(id, has_run, now);
-        let Some(Some(path)) = self.granted.remove(&id) else { return };
+        self.slot_times.end(id, may_have_run, now);
+        let Some(granted) = self.granted.remove(&id) else { return };
+        if outcome != GrantOutcome::Ended {
+            self.give_back(&granted, unread_tokens, may_have_run, now);
+        }
+        let Some(path) = granted.adapter else { return };
         let Some(entry) = self.adapters.get_mut(&path) else { return };
         entry.in_use = entry.in_use.saturating_sub(1);
         match outcome {
@@ -352,8 +358,8 @@
         self.loading_model = None;
         self.adapters.clear();
         // Their runs ended with the engine, so they use no adapter that is loaded again.
-        for adapter in self.granted.values_mut() {
-            *adapter = None;
+        for granted in self.granted.values_mut() {
+            granted.adapter = None;
         }
         self.orders.clear();
         self.accepted_orders = None;
--- a/crates/rail_place/src/pace.rs
+++ b/crates/rail_place/src/pace.rs
@@ -45,6 +45,7 @@
 /// A span of time in which the engine should read a prompt.
 #[derive(Debug, Clone, Copy)]
 struct Reading {
+    id: StartId,
     begins_at: Duration,
     ends_at: Duration,
 }
@@ -52,6 +53,7 @@
 #[derive(Debug, Clone, Copy)]
 struct RunningPrompt {
     max_event_gap: Option<Duration>,
+    tokens: u32,
     /// Tokens that the engine had to read for it, those of prompts ahead included.
     tokens_to_read: f64,
 }
@@ -122,16 +124,50 @@
         let begins_at = read_until.max(now);
         let ahead_s = read_until.saturating_sub(now).as_secs_f64();
         let tokens_to_read = ahead_s * self.speed.tokens_per_s() + f64::from(prompt.tokens);
-        let max_event_gap = prompt.max_event_gap;
-        self.running.insert(id, RunningPrompt { max_event_gap, tokens_to_read });
-        let ends_at = begins_at + self.reading_time(prompt.tokens);
-        self.readings.push_back(Reading { begins_at, ends_at });
+        let Prompt { tokens, max_event_gap } = prompt;
+        self.running.insert(id, RunningPrompt { max_event_gap, tokens, tokens_to_read });
+        let ends_at = begins_at + self.reading_time(tokens);
+        self.readings.push_back(Reading { id, begins_at, ends_at });
         let longest_window = self.window().unwrap_or_default();
         while self.readings.front().is_some_and(|first| first.ends_at + longest_window < now) {
             self.readings.pop_front();
         }
     }
 
+    /// Records that the engine reads no further in the prompt of a request, since it has answered,
+    /// has rejected the request or was left by its caller. The prompts behind it are read sooner.
+    /// Returns the tokens that it has not read. `was_read` is false if it has read none.
+    pub fn stop_reading(&mut self, id: StartId, was_read: bool, now: Duration) -> u32 {
+        let tokens = self.running.get(&id).map_or(0, |running| running.tokens);
+        let position = self.readings.iter().position(|reading| reading.id == id);
+        // What is not planned any more was read long ago, unless the engine rejected it.
+        let Some(position) = position else { return if was_read { 0 } else { tokens } };
+        let Reading { begins_at, ends_at, .. } = self.readings[position];
+        let stopped_at = if was_read { now.clamp(begins_at, ends_at) } else { begins_at };
+        if stopped_at == begins_at {
+            self.readings.remove(position);
+        } else {
+            self.readings[position].ends_at = stopped_at;
+        }
+        self.advance_readings_after(ends_at, ends_at.saturating_sub(now.max(begins_at)));
+        let unread = ends_at.saturating_sub(stopped_at).as_secs_f64();
+        let planned = ends_at.saturating_sub(begins_at).as_secs_f64();
+        (f64::from(tokens) * unread / planned.max(f64::MIN_POSITIVE)) as u32
+    }
+
+    /// Plans the prompts that were to be read from a time on by this much sooner.
+    fn advance_readings_after(&mut self, time: Duration, by: Duration) {
+        let skipped_tokens = by.as_secs_f64() * self.speed.tokens_per_s();
+        for reading in self.readings.iter_mut().filter(|reading| reading.begins_at >= time) {
+            reading.begins_at = reading.begins_at.saturating_sub(by);
+            reading.ends_at = reading.ends_at.saturating_sub(by);
+            if let Some(running) = self.running.get_mut(&reading.id) {
+                let without_skipped = running.tokens_to_read - skipped_tokens;
+                running.tokens_to_read = without_skipped.max(f64::from(running.tokens));
+            }
+        }
+    }
+
     /// Records the end of a request, with the times of its answer if it was a stream.
     pub fn end(&mut self, id: StartId, timing: Option<StreamTiming>) {
         let Some(running) = self.running.remove(&id) else { return };
